--- /dev/null
+++ b/crates/bench/examples/quickstart.rs
@@ -0,0 +1,86 @@
+//! Three instances and their stand-ins in one process: asks for an address,
+//! continues several chats, and places an order twice under one key.
+
+use bench::client::Caller;
+use bench::kit::{Kit, KitOptions, key};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// Written-out conversations: what the callers say, turn by turn.
+const CONVERSATIONS: &str = include_str!("conversations.json");
+
+#[derive(Deserialize)]
+struct Conversation {
+    workload: String,
+    workspace: String,
+    chat: String,
+    turns: Vec<String>,
+}
+
+fn main() {
+    let conversations: Vec<Conversation> =
+        serde_json::from_str(CONVERSATIONS).expect("conversations");
+    println!("starting 3 instances, 3 engines, 2 order services and a platform on loopback");
+    let kit = Kit::start(&KitOptions::default());
+    for conversation in &conversations {
+        converse(&kit, conversation);
+    }
+    place_order(&kit);
+    report(&kit);
+}
+
+fn converse(kit: &Kit, conversation: &Conversation) {
+    let caller = Caller::new(&key(&conversation.workspace));
+    let chat = &conversation.chat;
+    println!("\n{} ({chat})", conversation.workload);
+    let mut messages: Vec<Value> = Vec::new();
+    for turn in &conversation.turns {
+        let addresses = caller.locate(kit.caller(0), "assistant", chat);
+        let at = addresses.first().copied().unwrap_or(kit.caller(0));
+        messages.push(json!({ "role": "user", "content": turn }));
+        let got = caller.chat(at, "assistant", chat, &json!(messages));
+        println!(
+            "  {} at {at}: {} events, first after {:.1} ms, {}",
+            got.request,
+            got.events,
+            got.first.unwrap_or_default().as_secs_f64() * 1e3,
+            if got.whole { "whole" } else { "cut off" },
+        );
+        messages.push(json!({ "role": "assistant", "content": got.text }));
+    }
+}
+
+fn place_order(kit: &Kit) {
+    let caller = Caller::new(&key("forge"));
+    let order = json!({ "hoops": 40, "for": "distillery 9" }).to_string();
+    println!("\norder: sent to two instances under one key");
+    for instance in 0..2 {
+        let at = kit.caller(instance);
+        let got = caller.call(at, "orders/place", Some("order-2041"), &order);
+        println!("  at {at}: status {}, {}", got.status, got.text);
+    }
+    let runs = kit
+        .services
+        .iter()
+        .filter_map(|s| s.records().runs.get(&order).copied());
+    println!("  the order services ran it {} time(s)", runs.sum::<u32>());
+}
+
+fn report(kit: &Kit) {
+    println!("\nwhat the engines saw");
+    let (mut prompt, mut cached) = (0, 0);
+    for (i, engine) in kit.engines.iter().enumerate() {
+        let records = engine.records();
+        let all: usize = records.runs.iter().map(|r| r.prompt).sum();
+        let hit: usize = records.runs.iter().map(|r| r.cached).sum();
+        println!(
+            "  assistant-{i}: {} answers, {hit} of {all} prompt tokens from its cache",
+            records.runs.len(),
+        );
+        prompt += all;
+        cached += hit;
+    }
+    let share = 100.0 * f64::from(u32::try_from(cached).unwrap_or(0))
+        / f64::from(u32::try_from(prompt.max(1)).unwrap_or(1));
+    println!("  {share:.0} % of all prompt tokens came from a cache");
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins of the systems that briargap serves, and the tools that load and
+//! measure it. This package is for development only.
+
+pub mod client;
+pub mod kit;
+pub mod standin;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and measurement of briargap.
+
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/standin/http.rs
@@ -0,0 +1,61 @@
+//! Plumbing of the stand-ins' HTTP servers.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tiny_http::{Header, Request, Response, Server};
+
+/// Starts a server that gives each request a thread.
+pub(super) fn start<F>(listen: SocketAddr, handle: F) -> (Arc<Server>, SocketAddr)
+where
+    F: Fn(Request) + Send + Sync + 'static,
+{
+    let server = Arc::new(Server::http(listen).expect("a free address"));
+    let address = server.server_addr().to_ip().expect("an IP address");
+    let handle = Arc::new(handle);
+    let accepting = server.clone();
+    std::thread::spawn(move || {
+        for request in accepting.incoming_requests() {
+            let handle = handle.clone();
+            std::thread::spawn(move || handle(request));
+        }
+    });
+    (server, address)
+}
+
+/// Reads a JSON body.
+pub(super) fn read_json<T: DeserializeOwned>(request: &mut Request) -> Option<T> {
+    let mut body = Vec::new();
+    request.as_reader().read_to_end(&mut body).ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Reads a body as it is.
+pub(super) fn read_bytes(request: &mut Request) -> Vec<u8> {
+    let mut body = Vec::new();
+    let _ = request.as_reader().read_to_end(&mut body);
+    body
+}
+
+/// Answers with JSON.
+pub(super) fn json(request: Request, status: u16, value: &impl Serialize) {
+    let body = serde_json::to_string(value).expect("JSON");
+    let header = Header::from_bytes("content-type", "application/json").expect("header");
+    let response = Response::from_string(body)
+        .with_status_code(status)
+        .with_header(header);
+    let _ = request.respond(response);
+}
+
+/// Value of a header.
+pub(super) fn header(request: &Request, name: &'static str) -> Option<String> {
+    let mut headers = request.headers().iter();
+    let found = headers.find(|h| h.field.equiv(name));
+    found.map(|h| h.value.as_str().to_owned())
+}
+
+/// Closes the connection without an answer.
+pub(super) fn hang_up(request: Request) {
+    drop(request.into_writer());
+}
--- /dev/null
+++ b/crates/briargap/src/control.rs
@@ -0,0 +1,185 @@
+//! What operators can do with this instance.
+
+use crate::answers::Answers;
+use crate::core::CoreHandle;
+use crate::settings::Settings;
+use crate::store::{Store, to_operator};
+use decision::{Digest, Document, Event, Fault, InstanceId, Mark, MarkKey, Version, Versioned};
+use operator::{Applied, Control, Error, Ordered, Result, Summary};
+use peer::Mesh;
+use rand::Rng;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for an answer of the decisions' thread.
+const CORE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What operators can do with this instance.
+pub(crate) struct LocalControl {
+    pub(crate) instance: InstanceId,
+    pub(crate) settings: Settings,
+    pub(crate) core: CoreHandle,
+    pub(crate) store: Store,
+    pub(crate) answers: Arc<Answers>,
+    pub(crate) mesh: Arc<dyn Mesh>,
+    pub(crate) stop: flume::Sender<()>,
+}
+
+impl Control for LocalControl {
+    fn state(&self) -> Value {
+        let dump = self.core.query(decision::Node::dump);
+        let node = dump.recv_timeout(CORE_TIMEOUT).ok();
+        let (answers, bytes) = self.answers.size();
+        json!({
+            "node": node,
+            "settings": self.settings,
+            "answers": {
+                "kept": answers,
+                "bytes": bytes,
+                "under_way": self.answers.under_way(),
+            },
+            "marks_not_in_table": self.store.unsaved(),
+            "mesh": self.mesh.traffic(),
+        })
+    }
+
+    fn services(&self) -> Vec<Summary> {
+        let documents = self.core.documents.read().expect("documents");
+        documents
+            .values()
+            .map(|v| Summary {
+                service: v.document.service.clone(),
+                version: v.version,
+                targets: v.document.targets.len(),
+                workspaces: v.document.workspaces.len(),
+            })
+            .collect()
+    }
+
+    fn document(&self, service: &str, version: Option<Version>) -> Result<Versioned> {
+        let in_force = {
+            let documents = self.core.documents.read().expect("documents");
+            documents.get(service).cloned()
+        };
+        let wanted = version.or(in_force.as_ref().map(|v| v.version));
+        match (in_force, wanted) {
+            (Some(found), Some(wanted)) if found.version == wanted => Ok((*found).clone()),
+            (_, Some(version)) => {
+                let document = self.store.document(service, version);
+                let document = document.map_err(to_operator)?;
+                document
+                    .map(|document| Versioned { version, document })
+                    .ok_or_else(|| missing(service))
+            }
+            (_, None) => Err(missing(service)),
+        }
+    }
+
+    fn apply(&self, document: Document, expect: Version, dry_run: bool) -> Result<Applied> {
+        let mut faults = document.faults();
+        faults.extend(self.shared_targets(&document));
+        if !faults.is_empty() {
+            return Err(Error::Invalid { faults });
+        }
+        let service = document.service.clone();
+        let found = {
+            let documents = self.core.documents.read().expect("documents");
+            documents.get(&service).map_or(0, |v| v.version)
+        };
+        if found > expect {
+            return Err(Error::Conflict {
+                expected: expect,
+                found,
+            });
+        }
+        if dry_run {
+            return Ok(Applied {
+                service,
+                version: expect + 1,
+                dry_run: true,
+                settled: false,
+            });
+        }
+        let unique: u64 = rand::rng().random();
+        let token = format!("{}-{unique:016x}", self.instance);
+        let applied = self.store.apply(&document, expect, &token)?;
+        let version = applied.version;
+        self.core
+            .event(Event::Accepted(Versioned { version, document }));
+        Ok(applied)
+    }
+
+    fn order(&self, key: MarkKey, out: bool) -> Result<Ordered> {
+        self.check_known(&key)?;
+        let wanted = key.clone();
+        self.core.event(Event::Order { key, out });
+        let reply = self
+            .core
+            .query(move |node, _| node.marks().iter().find(|m| m.key == wanted));
+        let mark: Option<Mark> = reply.recv_timeout(CORE_TIMEOUT).ok().flatten();
+        let mark = mark.ok_or_else(|| Error::NotFound {
+            what: "mark; the instance is stopping".to_owned(),
+        })?;
+        Ok(Ordered {
+            mark,
+            instance: self.instance.clone(),
+        })
+    }
+
+    fn pardon(&self, digest: Digest) -> Result<()> {
+        self.core.event(Event::Pardon(digest));
+        Ok(())
+    }
+
+    fn stop(&self) {
+        let _ = self.stop.try_send(());
+    }
+}
+
+impl LocalControl {
+    /// Targets that another service names: a target belongs to one pool, or
+    /// two stewards would each count a part of its load.
+    fn shared_targets(&self, document: &Document) -> Vec<Fault> {
+        let documents = self.core.documents.read().expect("documents");
+        let others = documents
+            .values()
+            .filter(|v| v.document.service != document.service);
+        let mut faults = Vec::new();
+        for other in others {
+            for (i, target) in document.targets.iter().enumerate() {
+                if other.document.target(&target.id).is_some() {
+                    faults.push(Fault {
+                        path: format!("targets[{i}].id"),
+                        message: format!("belongs to service {}", other.document.service),
+                    });
+                }
+            }
+        }
+        faults
+    }
+
+    /// Refuses an order about something that no document names: most likely a
+    /// slip of the pen, and it would silently do nothing.
+    fn check_known(&self, key: &MarkKey) -> Result<()> {
+        let documents = self.core.documents.read().expect("documents");
+        let mut targets = documents.values().flat_map(|v| &v.document.targets);
+        let (is_known, what) = match key {
+            MarkKey::Domain(name) => (
+                targets.any(|t| t.domain == *name) || self.settings.domain == *name,
+                format!("failure domain {name:?}"),
+            ),
+            MarkKey::Target(name) => (targets.any(|t| t.id == *name), format!("target {name:?}")),
+        };
+        if is_known {
+            return Ok(());
+        }
+        Err(Error::NotFound { what })
+    }
+}
+
+fn missing(service: &str) -> Error {
+    Error::NotFound {
+        what: format!("service {service:?} of that version"),
+    }
+}
--- /dev/null
+++ b/crates/briargap/src/instance.rs
@@ -0,0 +1,423 @@
+//! One instance: everything wired together, from start to graceful shutdown.
+
+use crate::answers::Answers;
+use crate::control::LocalControl;
+use crate::core::{Core, CoreHandle};
+use crate::fleet::LocalFleet;
+use crate::metrics::Metrics;
+use crate::orders::MintedIds;
+use crate::runner::Targets;
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::{Error, Result};
+use decision::{Event, Listing, Node, PollTarget, TargetId};
+use peer::{Mesh, WsMesh};
+use platform::{Directory, HttpPlatform, Table};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use target::{HttpEngine, HttpService};
+
+/// Interval at which targets' load reports are read.
+const LOAD_POLL: Duration = Duration::from_millis(500);
+/// Interval at which kept answers are swept.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Interval at which metrics are sent.
+const METRICS: Duration = Duration::from_secs(10);
+/// Interval at which a stopping instance looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(100);
+/// Peer events that wait for the decisions' thread.
+const PEERS_WAITING: usize = 4_096;
+
+/// The platform's services, as trait objects, so that stand-ins fit.
+#[derive(Clone)]
+pub struct Platform {
+    /// Table.
+    pub table: Arc<dyn Table>,
+    /// List of instances.
+    pub directory: Arc<dyn Directory>,
+}
+
+impl Platform {
+    /// The platform's HTTP interface at a base address.
+    pub fn http(address: &str) -> Self {
+        let http = Arc::new(HttpPlatform::new(address));
+        Platform {
+            table: http.clone(),
+            directory: http,
+        }
+    }
+}
+
+/// A running instance.
+pub struct Instance {
+    core: CoreHandle,
+    answers: Arc<Answers>,
+    leaving: Arc<AtomicBool>,
+    directory: Arc<dyn Directory>,
+    listing: Listing,
+    server: caller::Server,
+    operator: operator::Server,
+    settings: Settings,
+    stop: flume::Receiver<()>,
+}
+
+impl Instance {
+    /// Starts an instance on the current async runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound or a key cannot be read.
+    pub async fn start(settings: Settings, platform: Platform) -> Result<Instance> {
+        let start = Instant::now();
+        let incarnation = incarnation();
+        let token = read_token(&settings)?;
+        let (peer_events, peers) = flume::bounded(PEERS_WAITING);
+        let mesh = start_mesh(&settings, incarnation, peer_events).await?;
+        let store =
+            Store::start(platform.table.clone()).map_err(|e| io("start", &"threads", &e))?;
+        let answers = Arc::new(Answers::new(settings.answers.clone()));
+        let (core, inputs) = CoreHandle::new();
+        let targets = Targets {
+            engine: Arc::new(HttpEngine),
+            plain: Arc::new(HttpService),
+        };
+        let leaving = Arc::new(AtomicBool::new(false));
+        let fleet = LocalFleet {
+            instance: settings.instance.clone(),
+            incarnation,
+            core: core.clone(),
+            store: store.clone(),
+            answers: answers.clone(),
+            minted: Arc::new(MintedIds::new(settings.instance.clone(), incarnation)),
+            targets: targets.clone(),
+            lookup_time: settings.caller.lookup_time,
+            seq: Arc::new(AtomicU64::new(1)),
+            leaving: leaving.clone(),
+        };
+        let server = caller::Server::builder(settings.caller.listen)
+            .connections(settings.caller.connections)
+            .body_max(settings.caller.body_max)
+            .head_timeout(settings.caller.head_time)
+            .start(Arc::new(fleet))
+            .await
+            .map_err(|e| io("listen for callers", &settings.caller.listen, &e))?;
+        let listing = listing(&settings, server.local(), mesh.local());
+        let node_settings = decision::Settings::builder(listing.clone(), incarnation)
+            .chats(settings.chats)
+            .beat(settings.membership.heartbeat)
+            .suspect_after(settings.membership.suspect)
+            .dead_after(settings.membership.dead)
+            .build();
+        let (stop_sender, stop) = flume::bounded(1);
+        let control = LocalControl {
+            instance: settings.instance.clone(),
+            settings: settings.clone(),
+            core: core.clone(),
+            store: store.clone(),
+            answers: answers.clone(),
+            mesh: mesh.clone(),
+            stop: stop_sender,
+        };
+        let operator = operator::Server::start(settings.operator.listen, token, Arc::new(control))
+            .map_err(|e| io("listen for operators", &settings.operator.listen, &e))?;
+        let running = Core {
+            node: Node::new(node_settings, start.elapsed()),
+            start,
+            mesh: mesh.clone(),
+            peers,
+            store: store.clone(),
+            answers: answers.clone(),
+        };
+        running
+            .start(core.clone(), inputs)
+            .map_err(|e| io("start", &"threads", &e))?;
+        core.event(Event::Listed(settings.peer.seeds.clone()));
+        start_platform_poll(&settings, &platform, &listing, &core, &store, &leaving)?;
+        tokio::spawn(poll_loads(core.clone(), targets));
+        tokio::spawn(sweep(answers.clone()));
+        if let Some(statsd) = settings.statsd {
+            let metrics = Metrics::new(statsd, &settings.instance)?;
+            tokio::spawn(send_metrics(metrics, core.clone(), mesh, answers.clone()));
+        }
+        log::info!(
+            "instance {} serves callers at {}, peers at {}, operators at {}",
+            settings.instance,
+            server.local(),
+            listing.peer,
+            operator.local()
+        );
+        Ok(Instance {
+            core,
+            answers,
+            leaving,
+            directory: platform.directory,
+            listing,
+            server,
+            operator,
+            settings,
+            stop,
+        })
+    }
+
+    /// Address on which callers are served.
+    pub fn caller(&self) -> SocketAddr {
+        self.server.local()
+    }
+
+    /// Address on which operators are served.
+    pub fn operator(&self) -> SocketAddr {
+        self.operator.local()
+    }
+
+    /// Entry of this instance in lists and seeds.
+    pub fn listing(&self) -> &Listing {
+        &self.listing
+    }
+
+    /// Waits until an operator asks this instance to stop.
+    pub async fn stop_asked(&self) {
+        if self.stop.recv_async().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Stops gracefully: takes no part in placement from now on, serves whoever
+    /// comes with a stale address until that has passed, and ends when the last
+    /// answer is whole. Returns whether no request was cut off.
+    pub async fn stop(self) -> bool {
+        log::info!("instance {} is stopping", self.settings.instance);
+        let begun = Instant::now();
+        self.leaving.store(true, Ordering::Relaxed);
+        self.core.event(Event::Leave);
+        let listing = Listing {
+            leaving: true,
+            ..self.listing.clone()
+        };
+        let directory = self.directory.clone();
+        std::thread::spawn(move || {
+            if let Err(e) = directory.announce(&listing) {
+                log::warn!("leaving not announced: {e}");
+            }
+        });
+        // Lookups that others gave just before they heard of it live as long again.
+        let stale = self.settings.caller.lookup_time + self.settings.membership.suspect;
+        while begun.elapsed() < self.settings.stop_limit {
+            let is_quiet = self.answers.under_way() == 0 && self.answers.read_now() == 0;
+            if begun.elapsed() >= stale && is_quiet {
+                break;
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        self.server.close();
+        let cut = self.answers.under_way();
+        // The last bytes are on their way through the sockets.
+        tokio::time::sleep(STOP_POLL).await;
+        self.core.stop();
+        log::info!("stopped; {cut} requests were cut off");
+        cut == 0
+    }
+}
+
+fn incarnation() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(1, |t| t.as_millis() as u64)
+}
+
+fn read_token(settings: &Settings) -> Result<String> {
+    let path = &settings.operator.token_file;
+    let text = std::fs::read_to_string(path).map_err(|e| io("read", &path.display(), &e))?;
+    let token = text.trim();
+    if token.len() < 16 {
+        return Err(Error::Setting {
+            path: "operator.token_file".to_owned(),
+            message: "the token must have at least 16 characters".to_owned(),
+        });
+    }
+    Ok(token.to_owned())
+}
+
+async fn start_mesh(
+    settings: &Settings,
+    incarnation: u64,
+    events: flume::Sender<peer::PeerEvent>,
+) -> Result<Arc<WsMesh>> {
+    let instance = settings.instance.clone();
+    let listen = settings.peer.listen;
+    let mut builder = WsMesh::builder(instance, incarnation, listen, events);
+    if let Some(files) = settings.tls_files() {
+        builder = builder.tls(peer::TlsStore::open(files).map_err(|e| mesh_error(&e))?);
+    }
+    builder.start().await.map_err(|e| mesh_error(&e))
+}
+
+fn mesh_error(error: &peer::Error) -> Error {
+    Error::Mesh {
+        message: error.to_string(),
+    }
+}
+
+fn listing(settings: &Settings, caller: SocketAddr, peer: SocketAddr) -> Listing {
+    Listing {
+        id: settings.instance.clone(),
+        domain: settings.domain.clone(),
+        caller: settings.caller.advertise.unwrap_or(caller),
+        peer: settings.peer.advertise.unwrap_or(peer),
+        leaving: false,
+    }
+}
+
+/// Reads the list of instances and the table's index at an interval.
+fn start_platform_poll(
+    settings: &Settings,
+    platform: &Platform,
+    listing: &Listing,
+    core: &CoreHandle,
+    store: &Store,
+    leaving: &Arc<AtomicBool>,
+) -> Result<()> {
+    let interval = settings.platform.poll_time;
+    let (directory, me) = (platform.directory.clone(), listing.clone());
+    let (core, store, leaving) = (core.clone(), store.clone(), leaving.clone());
+    let thread = std::thread::Builder::new().name("platform-poll".to_owned());
+    let poll = move || {
+        let mut announced = false;
+        let mut was_up = None;
+        loop {
+            if !announced && !leaving.load(Ordering::Relaxed) {
+                announced = directory.announce(&me).is_ok();
+            }
+            if let Ok(list) = directory.list() {
+                core.event(Event::Listed(list));
+            }
+            let is_up = poll_table(&core, &store);
+            if was_up != Some(is_up) {
+                log::info!(
+                    "the platform's table {}",
+                    if is_up { "answers" } else { "does not answer" }
+                );
+                was_up = Some(is_up);
+            }
+            std::thread::sleep(interval);
+        }
+    };
+    thread
+        .spawn(poll)
+        .map_err(|e| io("start", &"threads", &e))?;
+    Ok(())
+}
+
+fn poll_table(core: &CoreHandle, store: &Store) -> bool {
+    let documents = core.documents.clone();
+    let known = |service: &decision::ServiceId| {
+        let documents = documents.read().expect("documents");
+        documents.get(service).map_or(0, |v| v.version)
+    };
+    let Ok(polled) = store.poll(known) else {
+        return false;
+    };
+    for versioned in polled.documents {
+        core.event(Event::Accepted(versioned));
+    }
+    for mark in polled.marks {
+        core.event(Event::Marked(mark));
+    }
+    true
+}
+
+/// Reads the load reports of the engines that this instance stewards.
+async fn poll_loads(core: CoreHandle, targets: Targets) {
+    let mut since = BTreeMap::<TargetId, (u64, u64)>::new();
+    loop {
+        let asked = core.query(|node, _| node.polls());
+        let Ok(polls) = asked.recv_async().await else {
+            return;
+        };
+        since.retain(|target, _| polls.iter().any(|p| p.target == *target));
+        let mut tasks = Vec::new();
+        for poll in polls {
+            let known = since.get(&poll.target).copied().unwrap_or_default();
+            let asked = targets.engine.poll(poll.address, known.1);
+            tasks.push((poll, known, tokio::spawn(asked)));
+        }
+        for (poll, known, task) in tasks {
+            if let Ok(polled) = task.await {
+                let next = take_poll(&core, poll.clone(), known, polled);
+                since.insert(poll.target, next);
+            }
+        }
+        tokio::time::sleep(LOAD_POLL).await;
+    }
+}
+
+/// Hands a load report in; returns the boot and the number to ask from next.
+fn take_poll(
+    core: &CoreHandle,
+    poll: PollTarget,
+    known: (u64, u64),
+    polled: target::Result<target::Poll>,
+) -> (u64, u64) {
+    let PollTarget {
+        service, target, ..
+    } = poll;
+    let Ok(polled) = polled else {
+        core.event(Event::Unreachable { service, target });
+        return known;
+    };
+    let chats = polled.cached.into_iter().filter_map(|(name, tokens)| {
+        let chat = u64::from_str_radix(&name, 16).ok()?;
+        Some((chat, tokens))
+    });
+    let chats: Vec<_> = chats.collect();
+    if !chats.is_empty() {
+        core.event(Event::Cached {
+            service: service.clone(),
+            target: target.clone(),
+            chats,
+        });
+    }
+    let boot = polled.report.boot;
+    core.event(Event::Report {
+        service,
+        target,
+        report: polled.report,
+    });
+    // A target that has started again numbers its events from the start.
+    if known.0 != 0 && known.0 != boot {
+        return (boot, 0);
+    }
+    (boot, polled.next)
+}
+
+async fn sweep(answers: Arc<Answers>) {
+    loop {
+        answers.sweep();
+        tokio::time::sleep(SWEEP).await;
+    }
+}
+
+async fn send_metrics(
+    metrics: Metrics,
+    core: CoreHandle,
+    mesh: Arc<WsMesh>,
+    answers: Arc<Answers>,
+) {
+    loop {
+        tokio::time::sleep(METRICS).await;
+        let asked = core.query(decision::Node::dump);
+        let Ok(dump) = asked.recv_async().await else {
+            return;
+        };
+        metrics.send(&dump, &mesh.traffic(), answers.size());
+    }
+}
+
+fn io(step: &'static str, peer: &impl ToString, error: &std::io::Error) -> Error {
+    Error::Io {
+        step,
+        peer: peer.to_string(),
+        message: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/briargap/src/main.rs
@@ -0,0 +1,15 @@
+//! The `briargap` command: an instance's daemon and the operators' client.
+
+mod cli;
+mod client;
+mod serve;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cli::options().run() {
+        cli::Command::Serve { settings } => serve::serve(&settings),
+        cli::Command::Check { settings } => serve::check(&settings),
+        cli::Command::Client(options, action) => client::run(&options, &action),
+    }
+}
--- /dev/null
+++ b/crates/briargap/src/metrics.rs
@@ -0,0 +1,64 @@
+//! Metrics, sent to a statsd server.
+
+use crate::{Error, Result};
+use cadence::{Gauged, StatsdClient, UdpMetricSink};
+use decision::NodeDump;
+use peer::Traffic;
+use serde_json::Value;
+use std::net::{SocketAddr, UdpSocket};
+
+/// Sender of metrics.
+pub(crate) struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Opens the socket; every metric carries the instance as a tag.
+    pub(crate) fn new(statsd: SocketAddr, instance: &str) -> Result<Self> {
+        let error = |message: String| Error::Io {
+            step: "open metrics",
+            peer: statsd.to_string(),
+            message,
+        };
+        let local = if statsd.is_ipv4() {
+            "0.0.0.0:0"
+        } else {
+            "[::]:0"
+        };
+        let socket = UdpSocket::bind(local).map_err(|e| error(e.to_string()))?;
+        let sink = UdpMetricSink::from(statsd, socket).map_err(|e| error(e.to_string()))?;
+        let client = StatsdClient::builder("briargap", sink)
+            .with_tag("instance", instance)
+            .build();
+        Ok(Metrics { client })
+    }
+
+    /// Sends every counter and gauge; a lost one is sent again next time.
+    pub(crate) fn send(&self, dump: &NodeDump, traffic: &Traffic, answers: (usize, usize)) {
+        if let Ok(Value::Object(counters)) = serde_json::to_value(&dump.counters) {
+            for (name, value) in counters {
+                self.gauge(&format!("node.{name}"), value.as_u64().unwrap_or(0));
+            }
+        }
+        self.gauge("node.chats", dump.chats as u64);
+        self.gauge("node.held", dump.held as u64);
+        self.gauge("node.pending", dump.pending as u64);
+        self.gauge("answers.kept", answers.0 as u64);
+        self.gauge("answers.bytes", answers.1 as u64);
+        for (kind, (messages, bytes)) in &traffic.sent {
+            self.gauge(&format!("mesh.sent.{kind}.messages"), *messages);
+            self.gauge(&format!("mesh.sent.{kind}.bytes"), *bytes);
+        }
+        for (kind, (messages, bytes)) in &traffic.received {
+            self.gauge(&format!("mesh.received.{kind}.messages"), *messages);
+            self.gauge(&format!("mesh.received.{kind}.bytes"), *bytes);
+        }
+        self.gauge("mesh.unknown", traffic.unknown);
+        self.gauge("mesh.malformed", traffic.malformed);
+        self.gauge("mesh.dropped", traffic.dropped);
+    }
+
+    fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+}
--- /dev/null
+++ b/crates/briargap/src/runner.rs
@@ -0,0 +1,484 @@
+//! Runs one request: drives its state machine over asks, attempts and time.
+
+use crate::answers::AnswerLog;
+use crate::core::{AskReply, CoreHandle};
+use caller::{Part, Submission, Work};
+use decision::{
+    Action, AskId, Document, Error, Event, GrantId, Input, Kind, Outcome, Place, Ran, Release,
+    Request, RequestPlan, Step, TargetId,
+};
+use serde_json::{Value, json};
+use smol_str::{SmolStr, format_smolstr};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use target::{Attempt, Call, Heard, Target};
+use tokio::time::Instant;
+
+/// Age of a grant past which it is not used: the process may have paused.
+const GRANT_AGE: Duration = Duration::from_secs(2);
+/// Characters of a prompt that make about one token.
+const CHARS_A_TOKEN: usize = 4;
+
+/// The two kinds of targets.
+#[derive(Clone)]
+pub(crate) struct Targets {
+    pub(crate) engine: Arc<dyn Target>,
+    pub(crate) plain: Arc<dyn Target>,
+}
+
+/// How a request ended, for whoever keeps its claim.
+pub(crate) struct Ended {
+    pub(crate) outcome: Outcome,
+    pub(crate) whole: Option<(u16, Arc<[u8]>)>,
+}
+
+/// One request under way.
+pub(crate) struct Runner {
+    core: CoreHandle,
+    targets: Targets,
+    submission: Submission,
+    log: Arc<AnswerLog>,
+    request: Request,
+    asking: Option<(AskId, flume::Receiver<AskReply>)>,
+    granted: Option<(TargetId, SocketAddr)>,
+    attempt: Option<(u32, Attempt)>,
+    heard: u64,
+    offset: u64,
+    idle: Instant,
+    started: Instant,
+    first_ms: Option<u32>,
+    broke: bool,
+    refused: bool,
+    reason: Error,
+    staged: Option<Part>,
+    whole: Option<(u16, Arc<[u8]>)>,
+    prompt_tokens: u32,
+}
+
+enum Woken {
+    Asked(Result<AskReply, flume::RecvError>),
+    Heard(Result<Heard, flume::RecvError>),
+    Idle,
+    Withdrawn,
+    Expired,
+}
+
+impl Runner {
+    pub(crate) fn new(
+        core: CoreHandle,
+        targets: Targets,
+        submission: Submission,
+        log: Arc<AnswerLog>,
+    ) -> (Runner, Vec<Action>) {
+        let limits = &submission.service.document.limits;
+        let repeatable = match &submission.work {
+            Work::Chat { .. } => true,
+            Work::Call { repeatable, .. } => *repeatable,
+        };
+        let (request, actions) = Request::new(RequestPlan {
+            repeatable,
+            attempts: limits.attempts,
+        });
+        let prompt_tokens = prompt_tokens(&submission.work);
+        let runner = Runner {
+            core,
+            targets,
+            submission,
+            log,
+            request,
+            asking: None,
+            granted: None,
+            attempt: None,
+            heard: 0,
+            offset: 0,
+            idle: Instant::now(),
+            started: Instant::now(),
+            first_ms: None,
+            broke: false,
+            refused: false,
+            reason: Error::new("failed", Step::Answer, "target", "no attempt succeeded"),
+            staged: None,
+            whole: None,
+            prompt_tokens,
+        };
+        (runner, actions)
+    }
+
+    fn document(&self) -> &Document {
+        &self.submission.service.document
+    }
+
+    /// Runs the request to its end.
+    pub(crate) async fn run(mut self, first: Vec<Action>) -> Ended {
+        let expires = Instant::now() + self.document().limits.total_time;
+        let mut ended = self.carry_out(first);
+        loop {
+            if let Some(outcome) = ended {
+                return Ended {
+                    outcome,
+                    whole: self.whole.take(),
+                };
+            }
+            let woken = self.next(expires).await;
+            let input = self.input_of(woken);
+            ended = input.and_then(|input| {
+                let actions = self.request.on(input);
+                self.carry_out(actions)
+            });
+        }
+    }
+
+    async fn next(&self, expires: Instant) -> Woken {
+        let asked = async {
+            match &self.asking {
+                Some((_, reply)) => reply.recv_async().await,
+                None => std::future::pending().await,
+            }
+        };
+        let heard = async {
+            match &self.attempt {
+                Some((_, attempt)) => attempt.heard.recv_async().await,
+                None => std::future::pending().await,
+            }
+        };
+        let idle = async {
+            match &self.attempt {
+                Some(_) => tokio::time::sleep_until(self.idle).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            heard = heard => Woken::Heard(heard),
+            asked = asked => Woken::Asked(asked),
+            () = self.log.withdrawn.notified() => Woken::Withdrawn,
+            () = idle => Woken::Idle,
+            () = tokio::time::sleep_until(expires) => Woken::Expired,
+        }
+    }
+
+    fn input_of(&mut self, woken: Woken) -> Option<Input> {
+        match woken {
+            Woken::Asked(Ok(AskReply::Granted {
+                grant,
+                target,
+                address,
+                at,
+            })) => {
+                self.asking = None;
+                if at.elapsed() > GRANT_AGE {
+                    self.give_back(grant, &target);
+                    let ask = self.ask(Vec::new(), false);
+                    self.asking = Some(ask);
+                    return None;
+                }
+                self.granted = Some((target.clone(), address));
+                Some(Input::Granted { grant, target })
+            }
+            Woken::Asked(Ok(AskReply::Denied(code))) => {
+                self.asking = None;
+                Some(Input::Denied(code))
+            }
+            Woken::Asked(Err(_)) => {
+                self.asking = None;
+                Some(Input::Denied(decision::DenyCode::Stopping))
+            }
+            Woken::Heard(heard) => self.heard(heard),
+            Woken::Idle => {
+                let attempt = self.attempt.as_ref()?.0;
+                let message = "the target has been silent for too long";
+                self.note("silent", Step::Answer, message);
+                Some(Input::Silent(attempt))
+            }
+            Woken::Withdrawn if self.may_withdraw() => Some(Input::Withdrawn),
+            Woken::Withdrawn => None,
+            Woken::Expired => Some(Input::Expired),
+        }
+    }
+
+    /// A request that may not be repeated goes on without its caller once it
+    /// has been sent: stopping half-way would help nobody.
+    fn may_withdraw(&self) -> bool {
+        matches!(self.submission.work, Work::Chat { .. }) || self.attempt.is_none()
+    }
+
+    fn heard(&mut self, heard: Result<Heard, flume::RecvError>) -> Option<Input> {
+        let attempt = self.attempt.as_ref()?.0;
+        let limits = &self.submission.service.document.limits;
+        match heard {
+            Ok(Heard::Left) => {
+                self.idle = Instant::now() + limits.first_time;
+                Some(Input::Left(attempt))
+            }
+            Ok(Heard::NotRun { refused, message }) => {
+                self.refused |= refused;
+                self.note("unreachable", Step::Connect, &message);
+                Some(Input::NotRun(attempt))
+            }
+            Ok(Heard::Event { echo, data }) => {
+                self.idle = Instant::now() + limits.idle_time;
+                if echo != self.attempt_name(attempt) {
+                    // Events of another request: nothing of this stream can be trusted.
+                    self.note("crossed", Step::Answer, "the answer is for another request");
+                    return Some(Input::Broken(attempt));
+                }
+                let index = self.offset + self.heard;
+                self.heard += 1;
+                self.stage(Part::Event {
+                    index,
+                    data: self.renamed(&data).into(),
+                });
+                Some(Input::Event {
+                    attempt,
+                    index,
+                    last: false,
+                })
+            }
+            Ok(Heard::End) => {
+                self.stage(Part::End);
+                Some(Input::Event {
+                    attempt,
+                    index: self.offset + self.heard,
+                    last: true,
+                })
+            }
+            Ok(Heard::Whole {
+                status,
+                content_type,
+                body,
+            }) => {
+                let body: Arc<[u8]> = body.into();
+                self.whole = Some((status, body.clone()));
+                self.stage(Part::Whole {
+                    status,
+                    content_type,
+                    body,
+                });
+                Some(Input::Event {
+                    attempt,
+                    index: self.offset + self.heard,
+                    last: true,
+                })
+            }
+            Ok(Heard::Failed { status, message }) => {
+                self.note(
+                    "failed",
+                    Step::Answer,
+                    &format!("status {status}: {message}"),
+                );
+                Some(Input::Failed(attempt))
+            }
+            Ok(Heard::Broken(message)) => {
+                self.broke = true;
+                self.note("broken", Step::Answer, &message);
+                Some(Input::Broken(attempt))
+            }
+            Err(_) => {
+                self.broke = true;
+                Some(Input::Broken(attempt))
+            }
+        }
+    }
+
+    fn stage(&mut self, part: Part) {
+        self.staged = Some(part);
+    }
+
+    fn note(&mut self, code: &'static str, step: Step, message: &str) {
+        let peer = self.granted.as_ref().map_or("target", |g| g.0.as_str());
+        self.reason = Error::new(code, step, peer, message);
+    }
+
+    fn attempt_name(&self, attempt: u32) -> SmolStr {
+        format_smolstr!("{}.{attempt}", self.log.id)
+    }
+
+    /// Puts the request's id where the engine put the attempt's.
+    fn renamed(&self, data: &str) -> String {
+        let Ok(Value::Object(mut event)) = serde_json::from_str(data) else {
+            return data.to_owned();
+        };
+        event.insert("id".to_owned(), json!(self.log.id));
+        Value::Object(event).to_string()
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) -> Option<Outcome> {
+        let mut ended = None;
+        for action in actions {
+            match action {
+                Action::Ask { avoid, retry } => self.asking = Some(self.ask(avoid, retry)),
+                Action::CancelAsk => {
+                    if let Some((id, _)) = self.asking.take() {
+                        self.core.event(Event::Cancel(id));
+                    }
+                }
+                Action::Dispatch {
+                    attempt, offset, ..
+                } => self.dispatch(attempt, offset),
+                Action::Deliver => self.deliver(),
+                Action::Close(_) => self.attempt = None,
+                Action::Release {
+                    grant,
+                    target,
+                    whole,
+                } => self.release(grant, target, whole),
+                Action::Finish(outcome) => {
+                    self.finish(outcome);
+                    ended = Some(outcome);
+                }
+            }
+        }
+        ended
+    }
+
+    fn ask(&self, avoid: Vec<TargetId>, retry: bool) -> (AskId, flume::Receiver<AskReply>) {
+        let id = self.core.next_ask();
+        let limits = &self.document().limits;
+        let wait = self.submission.wait.unwrap_or(limits.queue_time);
+        let event = Event::Ask {
+            id,
+            service: self.document().service.clone(),
+            workspace: self.submission.workspace.clone(),
+            chat: self.submission.chat,
+            digest: self.submission.digest,
+            priority: self.submission.priority,
+            wait: wait.min(limits.queue_time),
+            avoid,
+            retry,
+        };
+        (id, self.core.ask(id, event))
+    }
+
+    fn dispatch(&mut self, attempt: u32, offset: u64) {
+        let Some((_, address)) = self.granted else {
+            return;
+        };
+        let limits = &self.document().limits;
+        self.idle = Instant::now() + limits.first_time;
+        self.heard = 0;
+        self.offset = offset;
+        let call = self.call(attempt, address, offset);
+        let target = match self.document().kind {
+            Kind::Engine => &self.targets.engine,
+            Kind::Plain => &self.targets.plain,
+        };
+        self.attempt = Some((attempt, target.dispatch(call)));
+    }
+
+    fn call(&self, attempt: u32, address: SocketAddr, offset: u64) -> Call {
+        let attempt = self.attempt_name(attempt);
+        let priority = self.submission.priority;
+        match &self.submission.work {
+            Work::Chat { body } => {
+                let mut body = body.clone();
+                body.insert("stream".to_owned(), json!(true));
+                // The hash keeps apart chats that two workspaces name alike.
+                let key = format!("{:016x}", self.submission.chat);
+                body.insert("prompt_cache_key".to_owned(), json!(key));
+                Call {
+                    attempt,
+                    address,
+                    method: SmolStr::new_static("POST"),
+                    path: "/v1/chat/completions".to_owned(),
+                    content_type: SmolStr::new_static("application/json"),
+                    body: Value::Object(body).to_string().into_bytes(),
+                    priority,
+                    offset,
+                }
+            }
+            Work::Call {
+                method,
+                path,
+                content_type,
+                body,
+                ..
+            } => Call {
+                attempt,
+                address,
+                method: method.clone(),
+                path: path.clone(),
+                content_type: content_type.clone(),
+                body: body.clone(),
+                priority,
+                offset,
+            },
+        }
+    }
+
+    fn deliver(&mut self) {
+        if self.first_ms.is_none() {
+            let took = self.started.elapsed().as_millis();
+            self.first_ms = Some(u32::try_from(took).unwrap_or(u32::MAX));
+        }
+        if let Some(part) = self.staged.take() {
+            self.log.push(part);
+        }
+    }
+
+    fn give_back(&self, grant: GrantId, target: &TargetId) {
+        let service = self.document().service.clone();
+        self.core.event(Event::Release {
+            release: Release::unused(grant, service, target.clone()),
+            digest: self.submission.digest,
+            crashed: false,
+        });
+    }
+
+    fn release(&mut self, grant: GrantId, target: TargetId, whole: bool) {
+        self.attempt = None;
+        self.granted = None;
+        let answered = u32::try_from(self.request.delivered()).unwrap_or(u32::MAX);
+        let tokens = if whole {
+            self.prompt_tokens.saturating_add(answered)
+        } else {
+            0
+        };
+        let release = Release {
+            grant,
+            service: self.document().service.clone(),
+            chat: self.submission.chat,
+            place: Place { target, tokens },
+            whole,
+            refused: self.refused,
+            first_ms: self.first_ms.filter(|_| whole),
+        };
+        // A connection that broke and then was refused: the target has crashed.
+        let crashed = self.broke && self.refused;
+        self.broke = false;
+        self.refused = false;
+        self.core.event(Event::Release {
+            release,
+            digest: self.submission.digest,
+            crashed,
+        });
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        let error = match outcome {
+            Outcome::Done => return,
+            Outcome::Refused(code, ran) => {
+                let message = format!("no slot: {}", code.word().replace('_', " "));
+                Error::new(code.word(), Step::Place, "fleet", message).with_ran(ran)
+            }
+            Outcome::Failed(ran) => self.reason.clone().with_ran(ran),
+            Outcome::Withdrawn => {
+                let message = "the request was withdrawn";
+                Error::new("withdrawn", Step::Answer, "caller", message).with_ran(Ran::Unknown)
+            }
+            Outcome::Expired(ran) => {
+                let message = "the request's time is over";
+                Error::new("timeout", Step::Answer, "target", message).with_ran(ran)
+            }
+        };
+        self.log.push(Part::Refused(error));
+    }
+}
+
+fn prompt_tokens(work: &Work) -> u32 {
+    let chars = match work {
+        Work::Chat { body } => body.get("messages").map_or(0, |m| m.to_string().len()),
+        Work::Call { .. } => 0,
+    };
+    u32::try_from(chars / CHARS_A_TOKEN).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/briargap/src/settings.rs
@@ -0,0 +1,374 @@
+//! Settings of one instance, read from a JSON file.
+
+use decision::{DomainId, Fault, InstanceId, Listing};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Settings of one instance.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Interface for callers.
+    pub caller: CallerSettings,
+    /// Interface for other instances.
+    pub peer: PeerSettings,
+    /// Interface for operators.
+    pub operator: OperatorSettings,
+    /// The platform's services.
+    pub platform: PlatformSettings,
+    /// Heartbeats.
+    #[serde(default)]
+    pub membership: MembershipSettings,
+    /// Answers that are kept for callers that come back.
+    #[serde(default)]
+    pub answers: AnswerSettings,
+    /// Most chats on record.
+    #[serde(default = "chats")]
+    pub chats: usize,
+    /// Longest time that a graceful shutdown takes, in milliseconds.
+    #[serde(rename = "stop_limit_ms", default = "stop_limit")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub stop_limit: Duration,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Address of a statsd server for metrics.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+}
+
+/// Interface for callers.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Address that lookups tell, where it is another.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Most connections at once.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    /// Most bytes of a request's body.
+    #[serde(default = "body_max")]
+    pub body_max: usize,
+    /// Time for which callers may keep a lookup, in milliseconds.
+    #[serde(rename = "lookup_ms", default = "lookup_time")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lookup_time: Duration,
+    /// Time for a request's head and for an idle connection, in milliseconds.
+    #[serde(rename = "head_ms", default = "head_time")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub head_time: Duration,
+}
+
+/// Interface for other instances.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Address that other instances dial, where it is another.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Files for mutual TLS; without them only a loopback address is allowed.
+    #[serde(default)]
+    pub tls: Option<TlsSettings>,
+    /// Instances to greet while the platform's list is not to be had.
+    #[serde(default)]
+    pub seeds: Vec<Listing>,
+}
+
+/// Files for mutual TLS.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// Certificate chain in PEM.
+    pub certificate: PathBuf,
+    /// Private key in PEM.
+    pub key: PathBuf,
+    /// Authority's certificate in PEM.
+    pub authority: PathBuf,
+}
+
+/// Interface for operators.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// File that holds the operators' bearer token.
+    pub token_file: PathBuf,
+}
+
+/// The platform's services.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Base address, as in `http://10.0.0.5:7000`.
+    pub address: String,
+    /// Interval at which the index row and the list are read, in milliseconds.
+    #[serde(rename = "poll_ms", default = "poll_time")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub poll_time: Duration,
+}
+
+/// Heartbeats.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MembershipSettings {
+    /// Interval of heartbeats, in milliseconds.
+    #[serde(rename = "heartbeat_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub heartbeat: Duration,
+    /// Silence after which an instance is suspected, in milliseconds.
+    #[serde(rename = "suspect_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub suspect: Duration,
+    /// Time after which a suspect counts as dead, in milliseconds.
+    #[serde(rename = "dead_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub dead: Duration,
+}
+
+/// Answers that are kept for callers that come back.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AnswerSettings {
+    /// Time for which a finished answer is kept, in milliseconds.
+    #[serde(rename = "keep_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub keep: Duration,
+    /// Time for which an answer goes on without its caller, in milliseconds.
+    #[serde(rename = "resume_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub resume: Duration,
+    /// Most bytes of all answers that are kept.
+    pub bytes: usize,
+}
+
+/// Log.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// Least level: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// Form of a line.
+    pub format: LogFormat,
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        MembershipSettings {
+            heartbeat: Duration::from_secs(1),
+            suspect: Duration::from_secs(3),
+            dead: Duration::from_secs(2),
+        }
+    }
+}
+
+impl Default for AnswerSettings {
+    fn default() -> Self {
+        AnswerSettings {
+            keep: Duration::from_secs(60),
+            resume: Duration::from_secs(10),
+            bytes: 16 << 20,
+        }
+    }
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        LogSettings {
+            level: "info".to_owned(),
+            format: LogFormat::Text,
+        }
+    }
+}
+
+fn chats() -> usize {
+    20_000
+}
+
+fn stop_limit() -> Duration {
+    Duration::from_secs(330)
+}
+
+fn connections() -> usize {
+    1_024
+}
+
+fn body_max() -> usize {
+    1 << 20
+}
+
+fn lookup_time() -> Duration {
+    Duration::from_secs(5)
+}
+
+fn head_time() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn poll_time() -> Duration {
+    Duration::from_secs(2)
+}
+
+/// Least number of heartbeats within the silence that raises suspicion.
+const BEATS_TO_SUSPECT: u32 = 3;
+
+impl Settings {
+    /// Reads settings and checks them as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its path in the document.
+    pub fn read(path: &Path) -> Result<Settings, Vec<Fault>> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| vec![fault(&path.display().to_string(), &e.to_string())])?;
+        Settings::parse(&text)
+    }
+
+    /// Parses settings and checks them as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its path in the document.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let settings: Settings = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|e| vec![fault(&e.path().to_string(), &e.inner().to_string())])?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(faults)
+    }
+
+    /// Lists every fault of the settings and of their relations.
+    pub fn faults(&self) -> Vec<Fault> {
+        let MembershipSettings {
+            heartbeat,
+            suspect,
+            dead,
+        } = &self.membership;
+        let is_plain = |name: &str| {
+            !name.is_empty()
+                && name.len() <= 63
+                && name
+                    .bytes()
+                    .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+        };
+        let has_scheme = self.platform.address.starts_with("http://");
+        let is_level = self.log.level.parse::<log::LevelFilter>().is_ok();
+        let is_private = self.peer.listen.ip().is_loopback();
+        let rules = [
+            (
+                is_plain(&self.instance),
+                "instance",
+                "must be 1 to 63 lower-case letters, digits or hyphens",
+            ),
+            (!self.domain.is_empty(), "domain", "must not be empty"),
+            (
+                self.caller.connections > 0,
+                "caller.connections",
+                "must be over 0",
+            ),
+            (
+                self.caller.body_max >= 1_024,
+                "caller.body_max",
+                "must be at least 1024",
+            ),
+            (
+                !self.caller.lookup_time.is_zero(),
+                "caller.lookup_ms",
+                "must be over 0",
+            ),
+            (
+                self.stop_limit > self.caller.lookup_time,
+                "stop_limit_ms",
+                "must be over caller.lookup_ms, or callers with a stale address are cut off",
+            ),
+            (
+                is_private || self.peer.tls.is_some(),
+                "peer.tls",
+                "is needed where peer.listen is not a loopback address",
+            ),
+            (has_scheme, "platform.address", "must begin with http://"),
+            (
+                !self.platform.poll_time.is_zero(),
+                "platform.poll_ms",
+                "must be over 0",
+            ),
+            (
+                !heartbeat.is_zero(),
+                "membership.heartbeat_ms",
+                "must be over 0",
+            ),
+            (
+                *suspect >= *heartbeat * BEATS_TO_SUSPECT,
+                "membership.suspect_ms",
+                "must be at least three times membership.heartbeat_ms",
+            ),
+            (
+                *dead >= *heartbeat,
+                "membership.dead_ms",
+                "must be at least membership.heartbeat_ms, or no suspect can refute in time",
+            ),
+            (
+                self.answers.keep >= self.answers.resume,
+                "answers.keep_ms",
+                "must be at least answers.resume_ms",
+            ),
+            (self.chats > 0, "chats", "must be over 0"),
+            (
+                is_level,
+                "log.level",
+                "must be error, warn, info, debug or trace",
+            ),
+        ];
+        let broken = rules.iter().filter(|(holds, _, _)| !holds);
+        broken
+            .map(|(_, path, message)| fault(path, message))
+            .collect()
+    }
+
+    /// Files for mutual TLS.
+    pub(crate) fn tls_files(&self) -> Option<peer::TlsFiles> {
+        let tls = self.peer.tls.as_ref()?;
+        Some(peer::TlsFiles {
+            certificate: tls.certificate.clone(),
+            key: tls.key.clone(),
+            authority: tls.authority.clone(),
+        })
+    }
+}
+
+fn fault(path: &str, message: &str) -> Fault {
+    Fault {
+        path: path.to_owned(),
+        message: message.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/briargap/src/store.rs
@@ -0,0 +1,380 @@
+//! What lasts: documents, marks and claims in the platform's table.
+//!
+//! Writes that wait at the same time go out in one call (group commit), and
+//! each call's answer that is lost is settled by reading back.
+
+use decision::{Document, Mark, ServiceId, Version, Versioned};
+use operator::Applied;
+use platform::{Error, Result, Row, Table, Write, Written};
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Row that names the highest version of each document.
+static INDEX_KEY: SmolStr = SmolStr::new_static("index");
+/// Row that holds all drain marks.
+static MARKS_KEY: SmolStr = SmolStr::new_static("marks");
+/// Threads that write, so that one slow call does not hold up the others.
+const WRITERS: usize = 4;
+/// Most writes in one call.
+const WRITES_A_CALL: usize = 64;
+/// Time for which a call waits for further writes.
+const GATHER_TIME: Duration = Duration::from_millis(2);
+/// Pause before a write that must last is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Tries of one conditional change of a shared row.
+const SWAP_TRIES: usize = 8;
+
+struct WriteJob {
+    write: Write,
+    reply: flume::Sender<Result<Written>>,
+}
+
+type ReadJob = (Vec<SmolStr>, flume::Sender<Result<Vec<Option<Row>>>>);
+
+/// The way to the platform's table.
+#[derive(Clone)]
+pub(crate) struct Store {
+    table: Arc<dyn Table>,
+    writes: flume::Sender<WriteJob>,
+    reads: flume::Sender<ReadJob>,
+    marks: flume::Sender<Mark>,
+    unsaved: Arc<Mutex<Vec<Mark>>>,
+}
+
+/// A document's row.
+#[derive(Serialize, Deserialize)]
+struct DocumentRow {
+    /// Tells one writer's row from another's.
+    token: SmolStr,
+    document: Document,
+}
+
+/// What a poll of the table found.
+#[derive(Debug, Default)]
+pub(crate) struct Polled {
+    pub(crate) documents: Vec<Versioned>,
+    pub(crate) marks: Vec<Mark>,
+}
+
+type Index = BTreeMap<ServiceId, Version>;
+
+impl Store {
+    /// Starts the threads that talk to the table.
+    pub(crate) fn start(table: Arc<dyn Table>) -> std::io::Result<Store> {
+        let (writes, write_jobs) = flume::bounded::<WriteJob>(4_096);
+        let (reads, read_jobs) = flume::bounded::<ReadJob>(4_096);
+        let (marks, mark_jobs) = flume::unbounded::<Mark>();
+        let unsaved = Arc::new(Mutex::new(Vec::new()));
+        for i in 0..WRITERS {
+            let (owned, jobs) = (table.clone(), write_jobs.clone());
+            let thread = std::thread::Builder::new().name(format!("table-write-{i}"));
+            thread.spawn(move || write_loop(&*owned, &jobs))?;
+            let (owned, jobs) = (table.clone(), read_jobs.clone());
+            let thread = std::thread::Builder::new().name(format!("table-read-{i}"));
+            thread.spawn(move || {
+                for (keys, reply) in &jobs {
+                    let _ = reply.send(owned.read(&keys));
+                }
+            })?;
+        }
+        let store = Store {
+            table: table.clone(),
+            writes,
+            reads,
+            marks,
+            unsaved: unsaved.clone(),
+        };
+        let thread = std::thread::Builder::new().name("table-marks".to_owned());
+        thread.spawn(move || keep_marks(&*table, &mark_jobs, &unsaved))?;
+        Ok(store)
+    }
+
+    /// Queues a conditional write.
+    pub(crate) fn write(&self, write: Write) -> flume::Receiver<Result<Written>> {
+        let (reply, received) = flume::bounded(1);
+        let _ = self.writes.send(WriteJob { write, reply });
+        received
+    }
+
+    /// Queues a read.
+    pub(crate) fn read(&self, keys: Vec<SmolStr>) -> flume::Receiver<Result<Vec<Option<Row>>>> {
+        let (reply, received) = flume::bounded(1);
+        let _ = self.reads.send((keys, reply));
+        received
+    }
+
+    /// Records a drain mark, for as long as it takes.
+    pub(crate) fn keep_mark(&self, mark: Mark) {
+        let _ = self.marks.send(mark);
+    }
+
+    /// Marks that the table does not hold yet.
+    pub(crate) fn unsaved(&self) -> Vec<Mark> {
+        self.unsaved.lock().expect("marks").clone()
+    }
+
+    /// Reads the index and the marks, and the documents newer than `known`.
+    pub(crate) fn poll(&self, known: impl Fn(&ServiceId) -> Version) -> Result<Polled> {
+        let rows = self.table.read(&[INDEX_KEY.clone(), MARKS_KEY.clone()])?;
+        let index: Index = parse_row(rows[0].as_ref())?;
+        let marks = parse_row(rows[1].as_ref())?;
+        let newer: Vec<(ServiceId, Version)> = index
+            .into_iter()
+            .filter(|(service, version)| *version > known(service))
+            .collect();
+        let keys: Vec<SmolStr> = newer.iter().map(|(s, v)| document_key(s, *v)).collect();
+        let rows = if keys.is_empty() {
+            Vec::new()
+        } else {
+            self.table.read(&keys)?
+        };
+        let mut documents = Vec::new();
+        for ((_, version), row) in newer.into_iter().zip(rows) {
+            if let Some(document) = parse_document(row.as_ref())? {
+                documents.push(Versioned { version, document });
+            }
+        }
+        Ok(Polled { documents, marks })
+    }
+
+    /// Reads one version of a document.
+    pub(crate) fn document(&self, service: &str, version: Version) -> Result<Option<Document>> {
+        let rows = self.table.read(&[document_key(service, version)])?;
+        parse_document(rows[0].as_ref())
+    }
+
+    /// Accepts a document in place of version `expect`.
+    ///
+    /// The row of a version is inserted once and never changed: whoever
+    /// inserts it wins, and the index row that names the highest version
+    /// follows. A lost answer is settled by reading the row back.
+    pub(crate) fn apply(
+        &self,
+        document: &Document,
+        expect: Version,
+        token: &str,
+    ) -> std::result::Result<Applied, operator::Error> {
+        let service = &document.service;
+        let version = expect + 1;
+        if expect > 0
+            && self
+                .document(service, expect)
+                .map_err(to_operator)?
+                .is_none()
+        {
+            let found = self.highest(service, expect).map_err(to_operator)?;
+            return Err(conflict(expect, found));
+        }
+        let row = DocumentRow {
+            token: token.into(),
+            document: document.clone(),
+        };
+        let value = serde_json::to_string(&row).map_err(|e| operator::Error::Malformed {
+            message: e.to_string(),
+        })?;
+        let write = Write {
+            key: document_key(service, version),
+            expect: 0,
+            value,
+        };
+        let settled = match self.table.write(std::slice::from_ref(&write)) {
+            Ok(written) if matches!(written[0], Written::Ok(_)) => false,
+            Ok(_) | Err(Error::Lost { .. }) => {
+                self.settle(&write, token, expect)?;
+                true
+            }
+            Err(e) => return Err(to_operator(e)),
+        };
+        // The document is accepted; the index only tells pollers of it.
+        if let Err(e) = self.raise_index(service, version) {
+            log::warn!("index of {service} not raised to {version}: {e}");
+        }
+        Ok(Applied {
+            service: service.clone(),
+            version,
+            dry_run: false,
+            settled,
+        })
+    }
+
+    /// Reads back a write whose answer was lost, or that met another row.
+    fn settle(
+        &self,
+        write: &Write,
+        token: &str,
+        expect: Version,
+    ) -> std::result::Result<(), operator::Error> {
+        for _ in 0..SWAP_TRIES {
+            match self.table.read(std::slice::from_ref(&write.key)) {
+                Ok(rows) => match rows[0].as_ref() {
+                    Some(row) => {
+                        let found: DocumentRow = parse(&row.value).map_err(to_operator)?;
+                        if found.token == token {
+                            return Ok(());
+                        }
+                        return Err(conflict(expect, expect + 1));
+                    }
+                    None => {
+                        if let Ok(written) = self.table.write(std::slice::from_ref(write))
+                            && matches!(written[0], Written::Ok(_))
+                        {
+                            return Ok(());
+                        }
+                    }
+                },
+                Err(e) => log::debug!("settling {}: {e}", write.key),
+            }
+            std::thread::sleep(RETRY_PAUSE);
+        }
+        Err(operator::Error::Platform {
+            message: "the write may have taken effect; apply again with the same expected \
+                      version to learn which"
+                .to_owned(),
+        })
+    }
+
+    fn highest(&self, service: &str, least: Version) -> Result<Version> {
+        let rows = self.table.read(std::slice::from_ref(&INDEX_KEY))?;
+        let index: Index = parse_row(rows[0].as_ref())?;
+        Ok(index.get(service).copied().unwrap_or(0).min(least.max(1)))
+    }
+
+    fn raise_index(&self, service: &ServiceId, version: Version) -> Result<()> {
+        swap(&*self.table, &INDEX_KEY, |index: &mut Index| {
+            let entry = index.entry(service.clone()).or_insert(0);
+            let is_higher = version > *entry;
+            *entry = version.max(*entry);
+            is_higher
+        })
+    }
+}
+
+fn write_loop(table: &dyn Table, jobs: &flume::Receiver<WriteJob>) {
+    while let Ok(first) = jobs.recv() {
+        std::thread::sleep(GATHER_TIME);
+        let mut batch = vec![first];
+        batch.extend(jobs.try_iter().take(WRITES_A_CALL - 1));
+        let writes: Vec<Write> = batch.iter().map(|j| j.write.clone()).collect();
+        match table.write(&writes) {
+            Ok(results) => {
+                for (job, written) in batch.into_iter().zip(results) {
+                    let _ = job.reply.send(Ok(written));
+                }
+            }
+            Err(e) => {
+                for job in batch {
+                    let _ = job.reply.send(Err(e.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// Writes marks to the table until it holds them.
+fn keep_marks(table: &dyn Table, jobs: &flume::Receiver<Mark>, unsaved: &Mutex<Vec<Mark>>) {
+    loop {
+        let is_idle = unsaved.lock().expect("marks").is_empty();
+        let next = if is_idle {
+            jobs.recv()
+                .map_err(|_| flume::RecvTimeoutError::Disconnected)
+        } else {
+            jobs.recv_timeout(RETRY_PAUSE)
+        };
+        match next {
+            Ok(mark) => unsaved.lock().expect("marks").push(mark),
+            Err(flume::RecvTimeoutError::Timeout) => {}
+            Err(flume::RecvTimeoutError::Disconnected) => return,
+        }
+        let waiting = unsaved.lock().expect("marks").clone();
+        let stored = swap(table, &MARKS_KEY, |marks: &mut Vec<Mark>| {
+            merge_marks(marks, &waiting)
+        });
+        match stored {
+            Ok(()) => {
+                let mut unsaved = unsaved.lock().expect("marks");
+                unsaved.retain(|m| !waiting.contains(m));
+            }
+            Err(e) => log::debug!("marks not stored yet: {e}"),
+        }
+    }
+}
+
+fn merge_marks(marks: &mut Vec<Mark>, new: &[Mark]) -> bool {
+    let mut merged = decision::Marks::default();
+    for mark in marks.iter() {
+        merged.merge(mark);
+    }
+    let mut changed = false;
+    for mark in new {
+        changed |= merged.merge(mark);
+    }
+    *marks = merged.iter().collect();
+    changed
+}
+
+/// Changes a shared row by compare-and-set; `change` tells whether it did.
+///
+/// A lost answer needs no reading back here: the changes merge, and a second
+/// try finds nothing left to change.
+fn swap<T>(table: &dyn Table, key: &SmolStr, change: impl Fn(&mut T) -> bool) -> Result<()>
+where
+    T: Default + Serialize + for<'a> Deserialize<'a>,
+{
+    let mut last = None;
+    for _ in 0..SWAP_TRIES {
+        let rows = table.read(std::slice::from_ref(key))?;
+        let row = rows[0].as_ref();
+        let mut value: T = parse_row(row)?;
+        if !change(&mut value) {
+            return Ok(());
+        }
+        let write = Write {
+            key: key.clone(),
+            expect: row.map_or(0, |r| r.version),
+            value: serde_json::to_string(&value).unwrap_or_default(),
+        };
+        match table.write(&[write]) {
+            Ok(written) if matches!(written[0], Written::Ok(_)) => return Ok(()),
+            Ok(_) => {}
+            Err(e) => last = Some(e),
+        }
+    }
+    Err(last.unwrap_or(Error::Refused {
+        step: "table write",
+        message: format!("row {key} changes too often"),
+    }))
+}
+
+fn document_key(service: &str, version: Version) -> SmolStr {
+    format_smolstr!("document/{service}/{version}")
+}
+
+fn parse<T: for<'a> Deserialize<'a>>(text: &str) -> Result<T> {
+    serde_json::from_str(text).map_err(|e| Error::Refused {
+        step: "table row",
+        message: e.to_string(),
+    })
+}
+
+fn parse_row<T: Default + for<'a> Deserialize<'a>>(row: Option<&Row>) -> Result<T> {
+    row.map_or_else(|| Ok(T::default()), |r| parse(&r.value))
+}
+
+fn parse_document(row: Option<&Row>) -> Result<Option<Document>> {
+    let Some(row) = row else { return Ok(None) };
+    parse::<DocumentRow>(&row.value).map(|r| Some(r.document))
+}
+
+fn conflict(expected: Version, found: Version) -> operator::Error {
+    operator::Error::Conflict { expected, found }
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "used as a mapping of errors")]
+pub(crate) fn to_operator(error: Error) -> operator::Error {
+    operator::Error::Platform {
+        message: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/caller/src/parse.rs
@@ -0,0 +1,240 @@
+//! Reading of what callers send.
+
+use crate::{
+    CHAT_HEADER, Fleet, KEY_HEADER, PRIORITY_HEADER, REQUEST_HEADER, Submission, WAIT_HEADER, Work,
+    workspace_of,
+};
+use decision::{Error, Kind, Result, Step, Versioned, WorkspaceId, chat_id, digest};
+use hyper::HeaderMap;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use serde_json::{Map, Value};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Most bytes of a chat's name or of a key.
+const NAME_MAX: usize = 256;
+/// Highest priority.
+const PRIORITY_MAX: u8 = 9;
+/// Priority where the caller tells none.
+const PRIORITY_DEFAULT: u8 = 5;
+
+pub(crate) fn read_error(code: &'static str, message: impl Into<String>) -> Error {
+    Error::new(code, Step::Read, "caller", message)
+}
+
+pub(crate) fn bearer(headers: &HeaderMap) -> Result<&str> {
+    let value = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let key = value.and_then(|v| v.strip_prefix("Bearer "));
+    key.map(str::trim)
+        .filter(|k| !k.is_empty())
+        .ok_or_else(|| unauthorized("a bearer key is needed"))
+}
+
+fn unauthorized(message: &str) -> Error {
+    Error::new("unauthorized", Step::Authorize, "caller", message)
+}
+
+/// Finds a service and the workspace that the key names there.
+pub(crate) fn authorize(
+    fleet: &dyn Fleet,
+    headers: &HeaderMap,
+    service: &str,
+) -> Result<(Arc<Versioned>, WorkspaceId)> {
+    let key = bearer(headers)?;
+    let Some(document) = fleet.document(service) else {
+        return Err(unknown_service(fleet, service));
+    };
+    let workspace = workspace_of(&document.document, key).map(|w| w.id.clone());
+    let workspace = workspace.ok_or_else(|| unauthorized("the key names no workspace"))?;
+    Ok((document, workspace))
+}
+
+fn unknown_service(fleet: &dyn Fleet, service: &str) -> Error {
+    if fleet.services().is_empty() {
+        let message = "this instance has no service document yet";
+        return Error::new("no_configuration", Step::Place, "platform", message);
+    }
+    let message = format!("there is no service {service:?}");
+    Error::new("unknown_service", Step::Read, "caller", message)
+}
+
+/// The workspaces that a key names, over all services.
+pub(crate) fn workspaces_of(fleet: &dyn Fleet, headers: &HeaderMap) -> Result<Vec<WorkspaceId>> {
+    let key = bearer(headers)?;
+    let mut found: Vec<WorkspaceId> = fleet
+        .services()
+        .iter()
+        .filter_map(|s| fleet.document(s))
+        .filter_map(|d| workspace_of(&d.document, key).map(|w| w.id.clone()))
+        .collect();
+    found.sort();
+    found.dedup();
+    if found.is_empty() {
+        return Err(unauthorized("the key names no workspace"));
+    }
+    Ok(found)
+}
+
+/// A header's value as text.
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if text.len() <= NAME_MAX && !text.is_empty() => Ok(Some(text)),
+        _ => Err(read_error(
+            "malformed",
+            format!("header {name} must be 1 to {NAME_MAX} printable characters"),
+        )),
+    }
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>> {
+    let Some(text) = header(headers, name)? else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(number) => Ok(Some(number)),
+        Err(_) => Err(read_error(
+            "malformed",
+            format!("header {name} must be a whole number"),
+        )),
+    }
+}
+
+fn priority(headers: &HeaderMap) -> Result<u8> {
+    match number(headers, PRIORITY_HEADER)? {
+        Some(p) if p > PRIORITY_MAX => Err(read_error(
+            "malformed",
+            format!("header {PRIORITY_HEADER} must be from 0 to {PRIORITY_MAX}"),
+        )),
+        given => Ok(given.unwrap_or(PRIORITY_DEFAULT)),
+    }
+}
+
+fn wait(headers: &HeaderMap) -> Result<Option<Duration>> {
+    Ok(number(headers, WAIT_HEADER)?.map(Duration::from_millis))
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<SmolStr>> {
+    let own = header(headers, REQUEST_HEADER)?;
+    let common = header(headers, KEY_HEADER)?;
+    Ok(own.or(common).map(SmolStr::from))
+}
+
+/// Reads a chat request.
+pub(crate) fn chat(fleet: &dyn Fleet, headers: &HeaderMap, bytes: &[u8]) -> Result<Submission> {
+    let parsed: std::result::Result<Map<String, Value>, _> = serde_json::from_slice(bytes);
+    let body = parsed.map_err(|e| read_error("malformed", format!("body: {e}")))?;
+    let Some(model) = body.get("model").and_then(Value::as_str) else {
+        return Err(read_error("malformed", "body: model must be a string"));
+    };
+    let (service, workspace) = authorize(fleet, headers, model)?;
+    if service.document.kind != Kind::Engine {
+        let message = format!("service {model:?} does not serve chats");
+        return Err(read_error("wrong_kind", message));
+    }
+    let Some(messages) = body.get("messages").and_then(Value::as_array) else {
+        return Err(read_error("malformed", "body: messages must be an array"));
+    };
+    if messages.is_empty() {
+        return Err(read_error("malformed", "body: messages must not be empty"));
+    }
+    let named = match header(headers, CHAT_HEADER)? {
+        Some(name) => Some(name),
+        None => body.get("prompt_cache_key").and_then(Value::as_str),
+    };
+    let chat_name = named.map_or_else(|| first_messages(messages), str::to_owned);
+    let priority = priority(headers)?;
+    Ok(Submission {
+        chat: chat_id(model, &workspace, &chat_name),
+        chat_name,
+        digest: digest(model, content(&body).as_bytes()),
+        priority,
+        wait: wait(headers)?,
+        key: key(headers)?,
+        workspace,
+        service: service.clone(),
+        work: Work::Chat { body },
+    })
+}
+
+/// A name for a chat that the caller did not name: it begins the same each
+/// time that the chat returns.
+fn first_messages(messages: &[Value]) -> String {
+    let first = messages.iter().take(2).map(Value::to_string);
+    let text = first.collect::<Vec<_>>().join("\n");
+    format!("{:016x}", digest("", text.as_bytes()))
+}
+
+/// What of a chat request decides what a target does.
+fn content(body: &Map<String, Value>) -> String {
+    body.get("messages")
+        .map(Value::to_string)
+        .unwrap_or_default()
+}
+
+/// Reads a call of a plain service.
+pub(crate) fn call(
+    fleet: &dyn Fleet,
+    headers: &HeaderMap,
+    method: &str,
+    path: &str,
+    body: &[u8],
+) -> Result<Submission> {
+    let rest = path.strip_prefix("/v1/services/").unwrap_or_default();
+    let (service, call) = rest.split_once('/').unwrap_or((rest, ""));
+    let (service, workspace) = authorize(fleet, headers, service)?;
+    let document = &service.document;
+    if document.kind != Kind::Plain {
+        let message = format!("service {:?} is called by chats", document.service);
+        return Err(read_error("wrong_kind", message));
+    }
+    let bare = call.split('?').next().unwrap_or_default();
+    let repeatable = matches!(method, "GET" | "HEAD") || document.is_repeatable(bare);
+    let key = key(headers)?;
+    let identity = [method.as_bytes(), call.as_bytes(), body].concat();
+    let digest = digest(&document.service, &identity);
+    let chat_name = match header(headers, CHAT_HEADER)? {
+        Some(name) => name.to_owned(),
+        None => key
+            .clone()
+            .map_or_else(|| format!("{digest:016x}"), |k| k.to_string()),
+    };
+    let content_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    Ok(Submission {
+        chat: chat_id(&document.service, &workspace, &chat_name),
+        chat_name,
+        digest,
+        priority: priority(headers)?,
+        wait: wait(headers)?,
+        key,
+        workspace,
+        work: Work::Call {
+            method: method.into(),
+            path: format!("/{call}"),
+            content_type: content_type.unwrap_or("application/json").into(),
+            body: body.to_vec(),
+            repeatable,
+        },
+        service,
+    })
+}
+
+/// Parameters of a query; names and values without percent signs.
+pub(crate) fn query(uri: &hyper::Uri) -> Result<BTreeMap<&str, &str>> {
+    let text = uri.query().unwrap_or_default();
+    let pairs = text.split('&').filter(|p| !p.is_empty());
+    pairs
+        .map(|pair| match pair.split_once('=') {
+            Some((_, value)) if value.contains('%') => Err(read_error(
+                "malformed",
+                "query values must be plain, without percent signs",
+            )),
+            Some(pair) => Ok(pair),
+            None => Ok((pair, "")),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/decision/src/budget.rs
@@ -0,0 +1,49 @@
+//! Budget of retries: a share of the requests that came first.
+
+use crate::id::Time;
+
+/// Token bucket that first attempts fill and retries draw on.
+///
+/// A retry budget as a share of first attempts keeps a fault from multiplying
+/// the load, however many callers retry.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    tokens: f64,
+    limit: f64,
+    ratio: f64,
+    refill: f64,
+    last: Time,
+}
+
+impl Budget {
+    /// Makes a full budget.
+    ///
+    /// `ratio` is the tokens that each first attempt adds, `refill` the tokens
+    /// added per second and `limit` the most that are kept.
+    pub fn new(ratio: f64, refill: f64, limit: f64) -> Self {
+        Budget {
+            tokens: limit,
+            limit,
+            ratio,
+            refill,
+            last: Time::ZERO,
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + self.ratio).min(self.limit);
+    }
+
+    /// Takes the token of one retry, or returns false where none is left.
+    pub fn withdraw(&mut self, now: Time) -> bool {
+        let gone = now.saturating_sub(self.last).as_secs_f64();
+        self.last = now.max(self.last);
+        self.tokens = (self.tokens + gone * self.refill).min(self.limit);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/decision/src/document.rs
@@ -0,0 +1,308 @@
+//! The service document: what a team says of its service.
+
+use crate::id::{DomainId, ServiceId, TargetId, Version, WorkspaceId};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Most targets that one document may name.
+const TARGETS_MAX: usize = 4_096;
+/// Most slots of one target.
+const SLOTS_MAX: u32 = 250;
+/// Hexadecimal digits of a SHA-256 digest.
+const DIGEST_DIGITS: usize = 64;
+
+/// What the targets of a service speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Model engines that stream chat completions.
+    Engine,
+    /// Plain services that answer one call at a time.
+    Plain,
+}
+
+/// One document, which rules one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Name of the service, which callers give as the model.
+    pub service: ServiceId,
+    /// What the targets speak.
+    pub kind: Kind,
+    /// Limits of load, queues and time.
+    #[serde(default)]
+    pub limits: Limits,
+    /// The pool.
+    pub targets: Vec<TargetSpec>,
+    /// Workspaces that may call.
+    pub workspaces: Vec<WorkspaceSpec>,
+    /// Rules of single calls of a plain service; the longest prefix holds.
+    #[serde(default)]
+    pub calls: Vec<CallRule>,
+}
+
+/// One target of the pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetSpec {
+    /// Name, unique in the document.
+    pub id: TargetId,
+    /// IP address and port.
+    pub address: std::net::SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Share of chats in proportion to other targets.
+    #[serde(default = "one")]
+    pub weight: u32,
+}
+
+/// One workspace that may call the service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkspaceSpec {
+    /// Name, unique in the document.
+    pub id: WorkspaceId,
+    /// SHA-256 of the bearer key in hexadecimal.
+    pub key_digest: SmolStr,
+    /// Share of the pool under overload in proportion to others.
+    #[serde(default = "one")]
+    pub share: u32,
+}
+
+/// Rule of the calls under one path of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallRule {
+    /// Path prefix, without a leading slash.
+    pub path: SmolStr,
+    /// Whether such a call may run more than once.
+    pub repeatable: bool,
+}
+
+/// Limits of a service.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Highest load of a target as a multiple of the pool's mean load.
+    pub multiple: f64,
+    /// Slots of a warm target.
+    pub slots: u32,
+    /// Slots of a target in its cold start.
+    pub cold_slots: u32,
+    /// Completed requests for each slot that a cold target gains.
+    pub ramp_step: u32,
+    /// Requests that wait for one target.
+    pub queue: usize,
+    /// Longest wait in a queue, in milliseconds.
+    #[serde(rename = "queue_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub queue_time: Duration,
+    /// Longest silence of a target within an answer, in milliseconds.
+    #[serde(rename = "idle_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub idle_time: Duration,
+    /// Longest wait for the first event of an answer, in milliseconds.
+    #[serde(rename = "first_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub first_time: Duration,
+    /// Longest life of a request, in milliseconds.
+    #[serde(rename = "total_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub total_time: Duration,
+    /// Most attempts at one request.
+    pub attempts: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            multiple: 1.25,
+            slots: 16,
+            cold_slots: 2,
+            ramp_step: 2,
+            queue: 64,
+            queue_time: Duration::from_secs(10),
+            idle_time: Duration::from_secs(2),
+            first_time: Duration::from_secs(10),
+            total_time: Duration::from_secs(300),
+            attempts: 4,
+        }
+    }
+}
+
+/// A document with the version under which it was accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Versioned {
+    /// Version; starts at 1 and only rises.
+    #[serde(rename = "v")]
+    pub version: Version,
+    /// The document.
+    #[serde(rename = "d")]
+    pub document: Document,
+}
+
+/// One fault of a document or of settings, with its path.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Where the fault lies, as in `targets[2].weight`.
+    pub path: String,
+    /// What is wrong there.
+    pub message: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.path, self.message)
+    }
+}
+
+impl Document {
+    /// Lists every fault of the document, or nothing where it may be accepted.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        check_name("service", &self.service, &mut faults);
+        self.limits.check(&mut faults);
+        self.check_targets(&mut faults);
+        self.check_workspaces(&mut faults);
+        if self.kind == Kind::Engine && !self.calls.is_empty() {
+            fault(
+                &mut faults,
+                "calls",
+                "only a plain service has rules of calls",
+            );
+        }
+        faults
+    }
+
+    /// Whether a call of a plain service may run more than once.
+    pub fn is_repeatable(&self, path: &str) -> bool {
+        self.calls
+            .iter()
+            .filter(|rule| path.starts_with(rule.path.as_str()))
+            .max_by_key(|rule| rule.path.len())
+            .is_some_and(|rule| rule.repeatable)
+    }
+
+    /// The workspace of that name.
+    pub fn workspace(&self, id: &str) -> Option<&WorkspaceSpec> {
+        self.workspaces.iter().find(|w| w.id == id)
+    }
+
+    /// The target of that name.
+    pub fn target(&self, id: &str) -> Option<&TargetSpec> {
+        self.targets.iter().find(|t| t.id == id)
+    }
+
+    fn check_targets(&self, faults: &mut Vec<Fault>) {
+        if self.targets.len() > TARGETS_MAX {
+            let message = format!("at most {TARGETS_MAX} targets");
+            fault(faults, "targets", &message);
+        }
+        let mut seen = BTreeSet::new();
+        for (i, target) in self.targets.iter().enumerate() {
+            check_name(&format!("targets[{i}].id"), &target.id, faults);
+            check_name(&format!("targets[{i}].domain"), &target.domain, faults);
+            if !seen.insert(&target.id) {
+                fault(faults, &format!("targets[{i}].id"), "named twice");
+            }
+            if target.weight == 0 {
+                fault(faults, &format!("targets[{i}].weight"), "must be over 0");
+            }
+        }
+    }
+
+    fn check_workspaces(&self, faults: &mut Vec<Fault>) {
+        let mut seen = BTreeSet::new();
+        for (i, workspace) in self.workspaces.iter().enumerate() {
+            check_name(&format!("workspaces[{i}].id"), &workspace.id, faults);
+            if !seen.insert(&workspace.id) {
+                fault(faults, &format!("workspaces[{i}].id"), "named twice");
+            }
+            if workspace.share == 0 {
+                fault(faults, &format!("workspaces[{i}].share"), "must be over 0");
+            }
+            let digest = &workspace.key_digest;
+            let is_hex = digest.bytes().all(|b| b.is_ascii_hexdigit());
+            if digest.len() != DIGEST_DIGITS || !is_hex {
+                let path = format!("workspaces[{i}].key_digest");
+                fault(faults, &path, "must be a SHA-256 digest in hexadecimal");
+            }
+        }
+    }
+}
+
+impl Limits {
+    fn check(&self, faults: &mut Vec<Fault>) {
+        let rules = [
+            (
+                self.multiple.is_finite() && self.multiple >= 1.0,
+                "limits.multiple",
+                "must be 1 or more",
+            ),
+            (
+                (1..=SLOTS_MAX).contains(&self.slots),
+                "limits.slots",
+                "must be from 1 to 250",
+            ),
+            (
+                self.cold_slots >= 1 && self.cold_slots <= self.slots,
+                "limits.cold_slots",
+                "must be from 1 to limits.slots",
+            ),
+            (self.ramp_step >= 1, "limits.ramp_step", "must be over 0"),
+            (
+                (1..=16).contains(&self.attempts),
+                "limits.attempts",
+                "must be from 1 to 16",
+            ),
+            (
+                !self.idle_time.is_zero(),
+                "limits.idle_ms",
+                "must be over 0",
+            ),
+            (
+                self.first_time >= self.idle_time,
+                "limits.first_ms",
+                "must be at least limits.idle_ms",
+            ),
+            (
+                self.total_time > self.first_time + self.queue_time,
+                "limits.total_ms",
+                "must be over limits.first_ms and limits.queue_ms together",
+            ),
+        ];
+        for (holds, path, message) in rules {
+            if !holds {
+                fault(faults, path, message);
+            }
+        }
+    }
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn fault(faults: &mut Vec<Fault>, path: &str, message: &str) {
+    faults.push(Fault {
+        path: path.to_owned(),
+        message: message.to_owned(),
+    });
+}
+
+fn check_name(path: &str, name: &str, faults: &mut Vec<Fault>) {
+    let is_plain = name
+        .bytes()
+        .all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_'));
+    if name.is_empty() || name.len() > 64 || !is_plain {
+        fault(
+            faults,
+            path,
+            "must be 1 to 64 letters, digits, hyphens or underscores",
+        );
+    }
+}
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,63 @@
+//! The decisions of briargap, without input or output.
+//!
+//! Nothing in this package opens a socket, starts a thread, reads a clock or
+//! draws a random number. A caller hands in an [`Event`] with the [`Time`] at
+//! which it happened and carries out the [`Command`]s that come back. The
+//! daemon, the benches and the property tests all drive this same code.
+//!
+//! - [`Node`] is one instance's share of the fleet: membership, service
+//!   documents, drain marks, the slot ledgers of the targets it stewards, and
+//!   the cache locations of the chats that it is home to.
+//! - [`Request`] is the life of one request at the instance that received it.
+//! - [`Claim`] makes a request run at most once through the platform's table.
+//!
+//! # Examples
+//!
+//! ```
+//! use decision::{rank, Time};
+//!
+//! let targets = ["e1", "e2", "e3"];
+//! let first = rank(7, targets.iter().map(|t| (*t, 1)));
+//! assert_eq!(first.len(), 3);
+//! assert_eq!(first, rank(7, targets.iter().rev().map(|t| (*t, 1))));
+//! # let _ = Time::ZERO;
+//! ```
+
+mod budget;
+mod chats;
+mod claim;
+mod document;
+mod error;
+mod hash;
+mod id;
+mod loads;
+mod marks;
+mod members;
+mod message;
+mod node;
+mod quarantine;
+mod queue;
+mod ramp;
+mod request;
+mod slots;
+
+pub use budget::Budget;
+pub use chats::{Chats, Place};
+pub use claim::{Claim, ClaimInput, ClaimRow, ClaimState, ClaimStep};
+pub use document::{CallRule, Document, Fault, Kind, Limits, TargetSpec, Versioned, WorkspaceSpec};
+pub use error::{Error, Ran, Result, Step};
+pub use hash::{chat_id, digest, rank};
+pub use id::{
+    AskId, AttemptId, ChatId, Digest, DomainId, GrantId, Incarnation, InstanceId, RequestId,
+    ServiceId, TargetId, Time, Version, WorkspaceId,
+};
+pub use loads::Loads;
+pub use marks::{Mark, MarkKey, Marks};
+pub use members::{Listing, Member, Members, Status};
+pub use message::{Ask, DenyCode, Grant, Hold, Message, Release, Rumour, Suspect};
+pub use node::{Command, Counters, Event, Node, NodeDump, PollTarget, Settings, SettingsBuilder};
+pub use quarantine::Quarantine;
+pub use queue::{Queue, Waiting};
+pub use ramp::Ramp;
+pub use request::{Action, Input, Outcome, Request, RequestPlan};
+pub use slots::{Denial, Report, Slots};
--- /dev/null
+++ b/crates/decision/src/node/entry.rs
@@ -0,0 +1,350 @@
+//! The entry's side of placement: asks that wait and grants that are held.
+
+use super::{Command, Event, Node};
+use crate::budget::Budget;
+use crate::id::{AskId, ChatId, Digest, InstanceId, ServiceId, TargetId, Time, WorkspaceId};
+use crate::message::{Ask, DenyCode, Grant, Hold, Message, Release};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time without an answer after which an ask goes to another steward.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Most stewards that are asked in turn when they do not answer.
+const ASK_TRIES: u8 = 4;
+/// Time beyond an ask's own wait after which it is given up.
+const ASK_GRACE: Duration = Duration::from_millis(500);
+/// Interval at which held grants are renewed.
+const RENEWAL: Duration = Duration::from_secs(3);
+/// Grants in one message that renews them.
+const HOLDS_A_MESSAGE: usize = 200;
+/// Retries for each first attempt, in the long run.
+const RETRY_RATIO: f64 = 0.1;
+/// Retries allowed per second besides.
+const RETRY_REFILL: f64 = 2.0;
+/// Most retries at once.
+const RETRY_BURST: f64 = 20.0;
+
+/// An ask that waits for an answer.
+#[derive(Clone, Debug)]
+pub(super) struct PendingAsk {
+    ask: Ask,
+    sent: Time,
+    gives_up: Time,
+    tries: u8,
+    asked: Option<InstanceId>,
+    queued: bool,
+}
+
+/// A grant that this instance holds.
+#[derive(Clone, Debug)]
+pub(super) struct HeldGrant {
+    hold: Hold,
+}
+
+impl Node {
+    pub(super) fn ask(&mut self, now: Time, event: Event, out: &mut Vec<Command>) {
+        let Event::Ask {
+            id,
+            service,
+            workspace,
+            chat,
+            digest,
+            priority,
+            wait,
+            avoid,
+            retry,
+        } = event
+        else {
+            return;
+        };
+        self.counters.asks += 1;
+        let refusal = match () {
+            () if !self.pools.contains_key(&service) => Some(DenyCode::NoService),
+            () if self.quarantine.is_quarantined(digest) => Some(DenyCode::Quarantined),
+            () if !self.may_try(now, &service, &workspace, retry) => Some(DenyCode::Budget),
+            () => None,
+        };
+        if let Some(code) = refusal {
+            out.push(Command::Denied { ask: id, code });
+            return;
+        }
+        let ask = Ask {
+            id,
+            entry: InstanceId::default(),
+            service,
+            workspace,
+            chat,
+            priority,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            target: TargetId::default(),
+            tried: avoid,
+            hops: 0,
+            full: false,
+            suspect: self.quarantine.is_suspect(digest),
+        };
+        let pending = PendingAsk {
+            ask,
+            sent: now,
+            gives_up: now + wait + ASK_GRACE,
+            tries: 0,
+            asked: None,
+            queued: false,
+        };
+        self.pending.insert(id, pending);
+        self.send_ask(now, id, out);
+    }
+
+    /// Draws a retry on the budgets of its workspace and its pool.
+    fn may_try(&mut self, now: Time, service: &ServiceId, workspace: &str, retry: bool) -> bool {
+        let pool_key = (service.clone(), WorkspaceId::default());
+        let own_key = (service.clone(), WorkspaceId::from(workspace));
+        [pool_key, own_key].into_iter().all(|key| {
+            let budget = self
+                .budgets
+                .entry(key)
+                .or_insert_with(|| Budget::new(RETRY_RATIO, RETRY_REFILL, RETRY_BURST));
+            if !retry {
+                budget.deposit();
+                return true;
+            }
+            budget.withdraw(now)
+        })
+    }
+
+    /// Sends a pending ask to its chat's home, or onward where that is silent.
+    fn send_ask(&mut self, now: Time, id: AskId, out: &mut Vec<Command>) {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        pending.sent = now;
+        pending.queued = false;
+        let silent = pending.asked.take();
+        let mut ask = pending.ask.clone();
+        let pool = &self.pools[&ask.service];
+        let ranking = pool.ranking(ask.chat);
+        let next = ranking.into_iter().find_map(|target| {
+            let steward = pool.steward(target)?;
+            (Some(steward) != silent.as_ref()).then(|| (target, steward.clone()))
+        });
+        let Some((target, steward)) = next else {
+            let refused = self.pending.remove(&id).map(|p| p.ask);
+            if let Some(ask) = refused {
+                out.push(Command::Denied {
+                    ask: ask.id,
+                    code: DenyCode::NoTarget,
+                });
+            }
+            return;
+        };
+        pending.asked = Some(steward.clone());
+        if steward == self.me {
+            self.place(now, ask, out);
+            return;
+        }
+        ask.hops = 1;
+        if silent.is_some() {
+            // The second choice's steward is not this chat's home: name the target.
+            ask.target = target.into();
+        }
+        out.push(Command::Send {
+            to: steward,
+            message: Message::Ask(ask),
+        });
+    }
+
+    pub(super) fn tick_entry(&mut self, now: Time, out: &mut Vec<Command>) {
+        let mut again = Vec::new();
+        let mut over = Vec::new();
+        for (id, pending) in &mut self.pending {
+            let holder_lost = pending
+                .asked
+                .as_ref()
+                .is_some_and(|id| !self.members.is_live(id));
+            let is_silent = !pending.queued && now.saturating_sub(pending.sent) >= ASK_TIMEOUT;
+            match () {
+                () if now >= pending.gives_up => over.push(*id),
+                () if (holder_lost || is_silent) && pending.tries >= ASK_TRIES => over.push(*id),
+                () if holder_lost || is_silent => {
+                    pending.tries += 1;
+                    again.push(*id);
+                }
+                () => {}
+            }
+        }
+        for id in again {
+            self.counters.asked_again += 1;
+            self.send_ask(now, id, out);
+        }
+        for id in over {
+            self.cancel(id, out);
+            let code = DenyCode::Expired;
+            out.push(Command::Denied { ask: id, code });
+        }
+        if now.saturating_sub(self.spread.renewed_at) >= RENEWAL {
+            self.renew_held(now, out);
+        }
+    }
+
+    pub(super) fn grant_came(&mut self, now: Time, grant: Grant, out: &mut Vec<Command>) {
+        let Some(pending) = self.pending.remove(&grant.ask) else {
+            return self.give_back(now, &grant, out);
+        };
+        let ask = &pending.ask;
+        let spec = self
+            .pools
+            .get(&ask.service)
+            .and_then(|p| p.spec(&grant.target));
+        let address = spec
+            .filter(|spec| !self.is_out(&spec.id, &spec.domain))
+            .map(|spec| spec.address);
+        let hold = Hold {
+            grant: grant.grant,
+            service: ask.service.clone(),
+            target: grant.target.clone(),
+            workspace: ask.workspace.clone(),
+        };
+        self.held.insert(grant.grant, HeldGrant { hold });
+        let Some(address) = address else {
+            // The steward has not heard of an order that is known here.
+            self.give_back(now, &grant, out);
+            let id = grant.ask;
+            let mut pending = pending;
+            pending.ask.tried.push(grant.target);
+            pending.asked = None;
+            self.pending.insert(id, pending);
+            return self.send_ask(now, id, out);
+        };
+        out.push(Command::Granted {
+            ask: grant.ask,
+            grant: grant.grant,
+            target: grant.target,
+            address,
+        });
+    }
+
+    /// Returns a grant that nothing will use.
+    fn give_back(&mut self, now: Time, grant: &Grant, out: &mut Vec<Command>) {
+        self.counters.given_back += 1;
+        let held = self.held.remove(&grant.grant);
+        let service = match held {
+            Some(held) => Some(held.hold.service),
+            None => self.service_of(&grant.target),
+        };
+        let Some(service) = service else { return };
+        let release = Release::unused(grant.grant, service, grant.target.clone());
+        self.send_release(now, &release, out);
+    }
+
+    fn service_of(&self, target: &str) -> Option<ServiceId> {
+        let mut pools = self.pools.iter();
+        let found = pools.find(|(_, pool)| pool.spec(target).is_some());
+        found.map(|(service, _)| service.clone())
+    }
+
+    pub(super) fn deny_came(&mut self, ask: AskId, code: DenyCode, out: &mut Vec<Command>) {
+        if self.pending.remove(&ask).is_some() {
+            self.counters.refused += 1;
+            out.push(Command::Denied { ask, code });
+        }
+    }
+
+    pub(super) fn queued_came(&mut self, now: Time, ask: AskId, from: &InstanceId) {
+        if let Some(pending) = self.pending.get_mut(&ask) {
+            pending.queued = true;
+            pending.sent = now;
+            pending.asked = Some(from.clone());
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: AskId, out: &mut Vec<Command>) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let service = pending.ask.service;
+        match pending.asked {
+            Some(holder) if holder == self.me => {
+                // The queue names this entry as it came: empty, or in full after a detour.
+                for entry in [InstanceId::default(), holder] {
+                    self.cancel_came(&service, &entry, id);
+                }
+            }
+            Some(holder) => out.push(Command::Send {
+                to: holder,
+                message: Message::Cancel { service, ask: id },
+            }),
+            None => {}
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Time,
+        release: &Release,
+        digest: Digest,
+        crashed: bool,
+        out: &mut Vec<Command>,
+    ) {
+        self.held.remove(&release.grant);
+        if crashed {
+            self.counters.crashes += 1;
+            let suspect = self.quarantine.crashed(now, digest);
+            self.push_index(Vec::new(), Vec::new(), vec![suspect], out);
+        } else if release.whole {
+            self.quarantine.completed(digest);
+        }
+        self.send_release(now, release, out);
+    }
+
+    /// Tells the steward and, where it is another, the chat's home.
+    fn send_release(&mut self, now: Time, release: &Release, out: &mut Vec<Command>) {
+        let Some(pool) = self.pools.get(&release.service) else {
+            return;
+        };
+        let steward = pool.steward(&release.place.target).cloned();
+        let home = self.home_to_tell(release.chat, release);
+        let mut to: Vec<InstanceId> = steward.into_iter().chain(home).collect();
+        to.dedup();
+        for id in to {
+            if id == self.me {
+                self.released(now, release, out);
+                continue;
+            }
+            out.push(Command::Send {
+                to: id,
+                message: Message::Release(vec![release.clone()]),
+            });
+        }
+    }
+
+    fn home_to_tell(&self, chat: ChatId, release: &Release) -> Option<InstanceId> {
+        let pool = self.pools.get(&release.service)?;
+        release.whole.then(|| pool.home(chat).cloned()).flatten()
+    }
+
+    /// Renews the held grants with their targets' stewards.
+    pub(super) fn renew_held(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.spread.renewed_at = now;
+        let mut by_steward = BTreeMap::<InstanceId, Vec<Hold>>::new();
+        for held in self.held.values() {
+            let pool = self.pools.get(&held.hold.service);
+            if let Some(steward) = pool.and_then(|p| p.steward(&held.hold.target)) {
+                by_steward
+                    .entry(steward.clone())
+                    .or_default()
+                    .push(held.hold.clone());
+            }
+        }
+        for (to, holds) in by_steward {
+            if to == self.me {
+                self.holds_came(now, &to, holds);
+                continue;
+            }
+            for part in holds.chunks(HOLDS_A_MESSAGE) {
+                out.push(Command::Send {
+                    to: to.clone(),
+                    message: Message::Held(part.to_vec()),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/node/mod.rs
@@ -0,0 +1,542 @@
+//! One instance's share of the fleet's decisions.
+
+mod dump;
+mod entry;
+mod place;
+mod pool;
+mod spread;
+
+pub use dump::{Counters, NodeDump};
+
+use crate::budget::Budget;
+use crate::chats::Chats;
+use crate::document::{Kind, Versioned};
+use crate::hash::rank;
+use crate::id::{
+    AskId, ChatId, Digest, GrantId, Incarnation, InstanceId, ServiceId, TargetId, Time, WorkspaceId,
+};
+use crate::marks::{Mark, MarkKey, Marks};
+use crate::members::{Listing, Members, Timing};
+use crate::message::{DenyCode, Message, Release};
+use crate::quarantine::Quarantine;
+use crate::slots::Report;
+use entry::{HeldGrant, PendingAsk};
+use pool::Pool;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Gap between two events after which the process counts as having paused.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// Messages of chat records that a stopping instance sends in one tick.
+const HANDOVER_BURST: usize = 10;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time went on; due every tenth of a second.
+    Tick,
+    /// Another instance sent a message.
+    Peer {
+        /// Sender.
+        from: InstanceId,
+        /// What it sent.
+        message: Message,
+    },
+    /// The connection to another instance was refused or broke.
+    PeerLost(InstanceId),
+    /// The platform gave its list of instances.
+    Listed(Vec<Listing>),
+    /// A document was read from the platform's table, or written there.
+    Accepted(Versioned),
+    /// A drain mark was read from the platform's table.
+    Marked(Mark),
+    /// An operator takes something out or back in, here.
+    Order {
+        /// What.
+        key: MarkKey,
+        /// Whether it goes out.
+        out: bool,
+    },
+    /// A request needs a slot.
+    Ask {
+        /// Number, unique at this instance.
+        id: AskId,
+        /// Service.
+        service: ServiceId,
+        /// Workspace.
+        workspace: WorkspaceId,
+        /// Chat.
+        chat: ChatId,
+        /// Digest of the request.
+        digest: Digest,
+        /// Priority; higher goes first.
+        priority: u8,
+        /// Longest wait.
+        wait: Duration,
+        /// Targets that must not be used.
+        avoid: Vec<TargetId>,
+        /// Whether this is not the request's first attempt.
+        retry: bool,
+    },
+    /// A request no longer wants the slot it asked for.
+    Cancel(AskId),
+    /// An attempt has ended.
+    Release {
+        /// What ended.
+        release: Release,
+        /// Digest of the request.
+        digest: Digest,
+        /// Whether the target crashed under it.
+        crashed: bool,
+    },
+    /// A target reported its load.
+    Report {
+        /// Service.
+        service: ServiceId,
+        /// Target.
+        target: TargetId,
+        /// What it said.
+        report: Report,
+    },
+    /// A target told how many tokens of chats it caches.
+    Cached {
+        /// Service.
+        service: ServiceId,
+        /// Target.
+        target: TargetId,
+        /// Tokens of each chat.
+        chats: Vec<(ChatId, u32)>,
+    },
+    /// A target refused a connection.
+    Unreachable {
+        /// Service.
+        service: ServiceId,
+        /// Target.
+        target: TargetId,
+    },
+    /// An operator releases a digest from quarantine, here.
+    Pardon(Digest),
+    /// This instance begins to stop.
+    Leave,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Send a message to another instance.
+    Send {
+        /// Receiver.
+        to: InstanceId,
+        /// What to send.
+        message: Message,
+    },
+    /// A request has its slot.
+    Granted {
+        /// The ask.
+        ask: AskId,
+        /// The grant.
+        grant: GrantId,
+        /// Target.
+        target: TargetId,
+        /// Address of the target.
+        address: SocketAddr,
+    },
+    /// A request gets no slot; it has not run.
+    Denied {
+        /// The ask.
+        ask: AskId,
+        /// Why.
+        code: DenyCode,
+    },
+    /// Write a drain mark to the platform's table.
+    Store(Mark),
+    /// Give a part of a kept answer to another instance.
+    Answer {
+        /// Who asked.
+        to: InstanceId,
+        /// What was asked; an [`Message::AnswerAsk`].
+        message: Message,
+    },
+    /// A part of an answer that another instance keeps has come.
+    Part(Message),
+    /// A document came into force.
+    InForce(ServiceId, u64),
+    /// The process has noticed that it was paused.
+    Woke(Duration),
+    /// An instance's status changed, for the log.
+    Changed(InstanceId),
+    /// A target turned cold or stopped answering, for the log.
+    TargetChanged(TargetId, &'static str),
+}
+
+/// A target whose load report this instance reads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PollTarget {
+    /// Service.
+    pub service: ServiceId,
+    /// Target.
+    pub target: TargetId,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// What a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    me: Listing,
+    incarnation: Incarnation,
+    chats: usize,
+    timing: Timing,
+}
+
+impl Settings {
+    /// Starts the settings of an instance.
+    pub fn builder(me: Listing, incarnation: Incarnation) -> SettingsBuilder {
+        SettingsBuilder(Settings {
+            me,
+            incarnation,
+            chats: 20_000,
+            timing: Timing {
+                beat: Duration::from_secs(1),
+                suspect: Duration::from_secs(3),
+                dead: Duration::from_secs(2),
+            },
+        })
+    }
+}
+
+/// Builder of [`Settings`].
+#[derive(Clone, Debug)]
+pub struct SettingsBuilder(Settings);
+
+impl SettingsBuilder {
+    /// Most chats on record.
+    #[must_use]
+    pub fn chats(mut self, most: usize) -> Self {
+        self.0.chats = most;
+        self
+    }
+
+    /// Interval of heartbeats.
+    #[must_use]
+    pub fn beat(mut self, interval: Duration) -> Self {
+        self.0.timing.beat = interval;
+        self
+    }
+
+    /// Silence after which a member is suspected.
+    #[must_use]
+    pub fn suspect_after(mut self, silence: Duration) -> Self {
+        self.0.timing.suspect = silence;
+        self
+    }
+
+    /// Time after which a suspect that has not refuted counts as dead.
+    #[must_use]
+    pub fn dead_after(mut self, time: Duration) -> Self {
+        self.0.timing.dead = time;
+        self
+    }
+
+    /// Finishes the settings.
+    #[must_use]
+    pub fn build(self) -> Settings {
+        self.0
+    }
+}
+
+/// One instance's share of the fleet's decisions.
+#[derive(Clone, Debug)]
+pub struct Node {
+    me: InstanceId,
+    incarnation: Incarnation,
+    members: Members,
+    view: u64,
+    pools: BTreeMap<ServiceId, Pool>,
+    chats: Chats,
+    marks: Marks,
+    quarantine: Quarantine,
+    budgets: BTreeMap<(ServiceId, WorkspaceId), Budget>,
+    pending: BTreeMap<AskId, PendingAsk>,
+    held: BTreeMap<GrantId, HeldGrant>,
+    moving: Vec<(InstanceId, Message)>,
+    grants: u64,
+    leaving: bool,
+    last: Time,
+    spread: spread::Schedule,
+    counters: Counters,
+}
+
+impl Node {
+    /// Makes the node of an instance that has just started.
+    pub fn new(settings: Settings, now: Time) -> Self {
+        let Settings {
+            me,
+            incarnation,
+            chats,
+            timing,
+        } = settings;
+        Node {
+            me: me.id.clone(),
+            incarnation,
+            members: Members::new(&me, incarnation, timing, now),
+            view: 0,
+            pools: BTreeMap::new(),
+            chats: Chats::new(chats),
+            marks: Marks::default(),
+            quarantine: Quarantine::default(),
+            budgets: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            held: BTreeMap::new(),
+            moving: Vec::new(),
+            grants: 0,
+            leaving: false,
+            last: now,
+            spread: spread::Schedule::default(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes an event and says what to do.
+    ///
+    /// `now` must not be lower than at the call before.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Command> {
+        let mut out = Vec::new();
+        self.notice_pause(now, &mut out);
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Peer { from, message } => self.receive(now, &from, message, &mut out),
+            Event::PeerLost(id) => self.members.lost(now, &id),
+            Event::Listed(list) => self.members.listed(now, &list),
+            Event::Accepted(versioned) => self.accept(now, versioned, &mut out),
+            Event::Marked(mark) => self.mark(now, &mark, &mut out),
+            Event::Order { key, out: gone } => self.order(now, key, gone, &mut out),
+            Event::Cancel(id) => self.cancel(id, &mut out),
+            Event::Release {
+                release,
+                digest,
+                crashed,
+            } => self.ended(now, &release, digest, crashed, &mut out),
+            Event::Report {
+                service,
+                target,
+                report,
+            } => self.reported(now, &service, &target, report, &mut out),
+            Event::Cached {
+                service,
+                target,
+                chats,
+            } => self.cached(&service, &target, chats, &mut out),
+            Event::Unreachable { service, target } => {
+                self.unreachable(now, &service, &target, &mut out);
+            }
+            Event::Pardon(digest) => self.pardon(digest, &mut out),
+            Event::Leave => self.leave(now),
+            ask @ Event::Ask { .. } => self.ask(now, ask, &mut out),
+        }
+        self.follow_view(now, &mut out);
+        out
+    }
+
+    /// Instances to which a caller should connect for a chat, the best first.
+    pub fn locate(
+        &self,
+        service: &str,
+        chat: ChatId,
+        most: usize,
+    ) -> Vec<(InstanceId, SocketAddr)> {
+        let Some(pool) = self.pools.get(service) else {
+            return Vec::new();
+        };
+        let mut found: Vec<InstanceId> = Vec::new();
+        let stewards = pool
+            .ranking(chat)
+            .into_iter()
+            .filter_map(|t| pool.steward(t));
+        let others = rank(chat, self.members.live().map(|id| (id.as_str(), 1)));
+        let all = stewards.map(InstanceId::as_str).chain(others);
+        for id in all {
+            if found.len() < most && !found.iter().any(|f| f == id) {
+                found.push(id.into());
+            }
+        }
+        let with_address = found.into_iter().filter_map(|id| {
+            let member = self.members.get(&id)?;
+            member.is_live().then_some((id, member.caller))
+        });
+        with_address.collect()
+    }
+
+    /// Document in force for a service.
+    pub fn document(&self, service: &str) -> Option<&Versioned> {
+        self.pools.get(service).map(|p| &p.versioned)
+    }
+
+    /// Services with a document in force.
+    pub fn services(&self) -> impl Iterator<Item = &Versioned> {
+        self.pools.values().map(|p| &p.versioned)
+    }
+
+    /// Targets whose load reports this instance reads.
+    pub fn polls(&self) -> Vec<PollTarget> {
+        let engines = self
+            .pools
+            .values()
+            .filter(|p| p.versioned.document.kind == Kind::Engine);
+        engines.flat_map(Pool::polls).collect()
+    }
+
+    /// Instances known.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Drain marks known.
+    pub fn marks(&self) -> &Marks {
+        &self.marks
+    }
+
+    /// Whether a target takes new work, by the orders known here.
+    pub fn takes_work(&self, service: &str, target: &str) -> bool {
+        let Some(pool) = self.pools.get(service) else {
+            return false;
+        };
+        let spec = pool.versioned.document.target(target);
+        spec.is_some_and(|spec| !self.is_out(&spec.id, &spec.domain))
+    }
+
+    /// Grants that this instance holds, and asks that wait for an answer.
+    pub fn in_flight(&self) -> usize {
+        self.held.len() + self.pending.len()
+    }
+
+    fn is_out(&self, target: &TargetId, domain: &str) -> bool {
+        self.marks.is_out(&MarkKey::Target(target.clone()))
+            || self.marks.is_out(&MarkKey::Domain(domain.into()))
+    }
+
+    /// Treats a pause as a new life: others may have taken over meanwhile.
+    fn notice_pause(&mut self, now: Time, out: &mut Vec<Command>) {
+        let gap = now.saturating_sub(self.last);
+        self.last = now.max(self.last);
+        if gap < PAUSE {
+            return;
+        }
+        self.counters.pauses += 1;
+        self.members.renew(now);
+        for pool in self.pools.values_mut() {
+            pool.caution(now);
+        }
+        self.renew_held(now, out);
+        out.push(Command::Woke(gap));
+    }
+
+    fn receive(&mut self, now: Time, from: &InstanceId, message: Message, out: &mut Vec<Command>) {
+        match message {
+            Message::Ask(mut ask) => {
+                if ask.entry.is_empty() {
+                    ask.entry = from.clone();
+                }
+                self.place(now, ask, out);
+            }
+            Message::Grant(grant) => self.grant_came(now, grant, out),
+            Message::Deny { ask, code } => self.deny_came(ask, code, out),
+            Message::Queued(ask) => self.queued_came(now, ask, from),
+            Message::Cancel { service, ask } => self.cancel_came(&service, from, ask),
+            Message::Release(releases) => {
+                for release in releases {
+                    self.released(now, &release, out);
+                }
+            }
+            Message::Held(holds) => self.holds_came(now, from, holds),
+            Message::Loads { service, loads } => self.loads_came(&service, loads),
+            Message::Pool {
+                service,
+                version,
+                loads,
+            } => self.pool_came(&service, version, &loads),
+            Message::Beat {
+                incarnation,
+                fingerprint,
+                rumours,
+            } => self.beat_came(now, from, incarnation, fingerprint, &rumours, out),
+            Message::Index {
+                documents,
+                marks,
+                suspects,
+                rumours,
+            } => {
+                let news = spread::News {
+                    documents,
+                    marks,
+                    suspects,
+                    rumours,
+                };
+                self.index_came(now, from, news, out);
+            }
+            Message::Fetch(services) => self.fetch_came(from, &services, out),
+            Message::Document(versioned) => self.accept(now, *versioned, out),
+            Message::Chats { chats, .. } => {
+                for (chat, place) in chats {
+                    if self.chats.places(chat).is_empty() {
+                        self.chats.served(now, chat, place);
+                    }
+                }
+            }
+            Message::Cached(chats) => {
+                for (chat, place) in chats {
+                    self.chats.corrected(chat, place);
+                }
+            }
+            Message::Pardon(digest) => {
+                self.quarantine.release(digest);
+            }
+            ask @ Message::AnswerAsk { .. } => out.push(Command::Answer {
+                to: from.clone(),
+                message: ask,
+            }),
+            part @ Message::AnswerPart { .. } => out.push(Command::Part(part)),
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.members.tick(now);
+        self.beat(now, out);
+        self.quarantine.expire(now);
+        self.tick_pools(now, out);
+        self.tick_entry(now, out);
+        let burst = if self.leaving { HANDOVER_BURST } else { 1 };
+        for _ in 0..burst {
+            if let Some((to, message)) = self.moving.pop() {
+                out.push(Command::Send { to, message });
+            }
+        }
+    }
+
+    fn leave(&mut self, now: Time) {
+        self.leaving = true;
+        self.members.leave(now);
+    }
+
+    /// Follows a change of the live list: stewards and homes move.
+    fn follow_view(&mut self, now: Time, out: &mut Vec<Command>) {
+        if self.view == self.members.view() {
+            return;
+        }
+        self.view = self.members.view();
+        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.assign(now, &service, out);
+        }
+        self.renew_held(now, out);
+    }
+
+    fn mint_grant(&mut self) -> GrantId {
+        self.grants += 1;
+        let owner = crate::hash::hash_parts(&[self.me.as_bytes(), &self.incarnation.to_le_bytes()]);
+        // The upper half names the steward's life and the lower half counts.
+        (owner << 32) | (self.grants & u64::from(u32::MAX))
+    }
+}
--- /dev/null
+++ b/crates/decision/src/node/place.rs
@@ -0,0 +1,397 @@
+//! Placement: which target serves an ask, and who grants it.
+
+use super::pool::Pool;
+use super::{Command, Node};
+use crate::id::{ChatId, InstanceId, ServiceId, TargetId, Time};
+use crate::message::{Ask, DenyCode, Grant, Hold, Message, Release};
+use crate::slots::Denial;
+use std::time::Duration;
+
+/// Most times an ask is passed on before it is queued.
+const HOPS: u8 = 6;
+/// Queued asks of one target that are placed elsewhere in one tick.
+const MOVES_A_TICK: usize = 4;
+
+impl Node {
+    /// Places an ask: grants it here, passes it on, or queues it.
+    pub(super) fn place(&mut self, now: Time, mut ask: Ask, out: &mut Vec<Command>) {
+        let Some(pool) = self.pools.get(&ask.service) else {
+            return self.deny(&ask, DenyCode::NoService, out);
+        };
+        if ask.full && !pool.slots.is_empty() {
+            return self.enqueue(now, ask, out);
+        }
+        loop {
+            let Some(target) = self.choose(&mut ask) else {
+                return self.exhausted(now, ask, out);
+            };
+            let pool = &self.pools[&ask.service];
+            match pool.steward(&target) {
+                Some(steward) if *steward == self.me => {}
+                Some(_) if ask.hops >= HOPS => return self.exhausted(now, ask, out),
+                Some(steward) => {
+                    let to = steward.clone();
+                    return self.pass_on(to, target, ask, out);
+                }
+                None => return self.deny(&ask, DenyCode::NoTarget, out),
+            }
+            match self.try_grant(now, &ask, &target, 0, out) {
+                Ok(()) => return,
+                Err(_) => ask.tried.push(target),
+            }
+        }
+    }
+
+    fn pass_on(&mut self, to: InstanceId, target: TargetId, mut ask: Ask, out: &mut Vec<Command>) {
+        ask.hops += 1;
+        ask.target = target;
+        if ask.entry.is_empty() {
+            ask.entry = self.me.clone();
+        }
+        // The receiver knows the sender, so the entry's name is left out on its own hop.
+        if ask.entry == self.me {
+            ask.entry = InstanceId::default();
+        }
+        self.counters.passed_on += 1;
+        out.push(Command::Send {
+            to,
+            message: Message::Ask(ask),
+        });
+    }
+
+    /// The next target to try: the one that was asked for, then where the
+    /// chat's cache lies, then the chat's own order, the ones known to be full
+    /// last.
+    fn choose(&self, ask: &mut Ask) -> Option<TargetId> {
+        let pool = &self.pools[&ask.service];
+        let wanted = std::mem::take(&mut ask.target);
+        if !wanted.is_empty() && self.is_candidate(pool, &wanted, ask) {
+            return Some(wanted);
+        }
+        let places = self.chats.places(ask.chat);
+        let cached = places
+            .iter()
+            .map(|p| p.target.as_str())
+            .filter(|t| self.is_candidate(pool, t, ask));
+        let ranking = pool.ranking(ask.chat);
+        let ranked: Vec<&str> = ranking
+            .into_iter()
+            .filter(|t| self.is_candidate(pool, t, ask))
+            .collect();
+        let preferred = cached.chain(ranked.iter().copied());
+        let free = preferred.clone().find(|t| !is_known_full(pool, t));
+        let chosen = match free {
+            Some(first) if places.is_empty() && ask.tried.is_empty() => {
+                Some(less_used(pool, first, &ranked))
+            }
+            Some(first) => Some(first),
+            None => preferred.into_iter().next(),
+        };
+        chosen.map(TargetId::from)
+    }
+
+    fn is_candidate(&self, pool: &Pool, target: &str, ask: &Ask) -> bool {
+        let Some(spec) = pool.spec(target) else {
+            return false;
+        };
+        !ask.tried.contains(&spec.id) && !self.is_out(&spec.id, &spec.domain)
+    }
+
+    /// Grants a slot of a target that this instance stewards.
+    ///
+    /// `over` is the number of requests over the bound that are allowed, for
+    /// an ask that every target has denied: the known mean is then too low.
+    fn try_grant(
+        &mut self,
+        now: Time,
+        ask: &Ask,
+        target: &TargetId,
+        over: u32,
+        out: &mut Vec<Command>,
+    ) -> Result<(), Denial> {
+        let grant = self.mint_grant();
+        let me = self.me.clone();
+        let pool = self.pools.get_mut(&ask.service).expect("pool");
+        let limits = &pool.versioned.document.limits;
+        let slots = pool.slots.get_mut(target).ok_or(Denial::Down)?;
+        let cap = slots.cap(limits);
+        let bound = pool.loads.bound(cap, limits.multiple) + over;
+        let entry = if ask.entry.is_empty() {
+            me
+        } else {
+            ask.entry.clone()
+        };
+        let holder = (entry, ask.workspace.clone());
+        slots
+            .grant(now, grant, holder, bound, ask.suspect, limits)
+            .inspect_err(|denial| self.counters.denied(*denial))?;
+        pool.note_load(now, target);
+        self.counters.grants += 1;
+        let grant = Grant {
+            ask: ask.id,
+            grant,
+            target: target.clone(),
+        };
+        self.reply(&ask.entry, Message::Grant(grant), now, out);
+        Ok(())
+    }
+
+    /// Answers an ask: over the mesh, or here where this is the entry.
+    fn reply(&mut self, entry: &InstanceId, message: Message, now: Time, out: &mut Vec<Command>) {
+        if !entry.is_empty() && *entry != self.me {
+            out.push(Command::Send {
+                to: entry.clone(),
+                message,
+            });
+            return;
+        }
+        let me = self.me.clone();
+        match message {
+            Message::Grant(grant) => self.grant_came(now, grant, out),
+            Message::Deny { ask, code } => self.deny_came(ask, code, out),
+            Message::Queued(ask) => self.queued_came(now, ask, &me),
+            _ => {}
+        }
+    }
+
+    pub(super) fn deny(&mut self, ask: &Ask, code: DenyCode, out: &mut Vec<Command>) {
+        let message = Message::Deny { ask: ask.id, code };
+        let now = self.last;
+        self.reply(&ask.entry.clone(), message, now, out);
+    }
+
+    /// Sends an ask that every target has denied to the home's queue.
+    fn exhausted(&mut self, now: Time, mut ask: Ask, out: &mut Vec<Command>) {
+        let pool = &self.pools[&ask.service];
+        let targets = &pool.versioned.document.targets;
+        let takes_work = targets.iter().any(|t| !self.is_out(&t.id, &t.domain));
+        let home = pool.home(ask.chat).cloned();
+        ask.full = true;
+        match home {
+            _ if !takes_work => self.deny(&ask, DenyCode::NoTarget, out),
+            Some(home) if home == self.me => self.enqueue(now, ask, out),
+            Some(home) if ask.hops <= HOPS => {
+                ask.tried.clear();
+                self.pass_on(home, TargetId::default(), ask, out);
+            }
+            _ if !pool.slots.is_empty() => self.enqueue(now, ask, out),
+            _ => self.deny(&ask, DenyCode::NoTarget, out),
+        }
+    }
+
+    /// Queues an ask for the first of its targets that this instance stewards.
+    fn enqueue(&mut self, now: Time, mut ask: Ask, out: &mut Vec<Command>) {
+        let pool = &self.pools[&ask.service];
+        let ranking = pool.ranking(ask.chat);
+        let Some(target) = ranking.into_iter().find(|t| pool.slots.contains_key(*t)) else {
+            return self.deny(&ask, DenyCode::NoTarget, out);
+        };
+        let target = TargetId::from(target);
+        ask.tried.clear();
+        ask.target = TargetId::default();
+        let takes_work = self.is_candidate(pool, &target, &ask);
+        let is_first = pool.queues.get(&target).is_none_or(crate::Queue::is_empty);
+        if takes_work && is_first && self.try_grant(now, &ask, &target, 1, out).is_ok() {
+            return;
+        }
+        self.push(now, &target, ask, out);
+    }
+
+    fn push(&mut self, now: Time, target: &TargetId, ask: Ask, out: &mut Vec<Command>) {
+        let pool = self.pools.get_mut(&ask.service).expect("pool");
+        let document = &pool.versioned.document;
+        let limits = &document.limits;
+        let wait = Duration::from_millis(u64::from(ask.wait_ms)).min(limits.queue_time);
+        let queue = pool.queues.entry(target.clone()).or_default();
+        let share = document.workspace(&ask.workspace).map_or(1, |w| w.share);
+        let entry = ask.entry.clone();
+        let id = ask.id;
+        let dropped = queue.push(ask, now + wait, share, limits.queue);
+        if let Some(dropped) = &dropped {
+            self.counters.shed += 1;
+            self.deny(dropped, DenyCode::Overloaded, out);
+        }
+        let is_kept = dropped.is_none_or(|d| d.entry != entry || d.id != id);
+        if is_kept {
+            self.counters.queued += 1;
+            self.reply(&entry, Message::Queued(id), now, out);
+        }
+    }
+
+    /// Grants what waits for one target, for as long as it has room.
+    pub(super) fn serve(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        target: &TargetId,
+        out: &mut Vec<Command>,
+    ) {
+        while let Some(ask) = self.next_waiting(service, target) {
+            let pool = &self.pools[service];
+            if !self.is_candidate(pool, target, &ask) {
+                return;
+            }
+            if self.try_grant(now, &ask, target, 0, out).is_err() {
+                return;
+            }
+            let pool = self.pools.get_mut(service).expect("pool");
+            pool.queues.get_mut(target).and_then(crate::Queue::pop);
+        }
+    }
+
+    fn next_waiting(&self, service: &ServiceId, target: &TargetId) -> Option<Ask> {
+        let queue = self.pools.get(service)?.queues.get(target)?;
+        queue.peek().cloned()
+    }
+
+    /// Serves every queue, and places elsewhere what another target has room for.
+    pub(super) fn serve_all(&mut self, now: Time, service: &ServiceId, out: &mut Vec<Command>) {
+        let pool = &self.pools[service];
+        let waiting: Vec<TargetId> = pool
+            .queues
+            .iter()
+            .filter(|(_, q)| !q.is_empty())
+            .map(|(t, _)| t.clone())
+            .collect();
+        for target in waiting {
+            self.serve(now, service, &target, out);
+            for _ in 0..MOVES_A_TICK {
+                if !self.move_waiting(now, service, &target, out) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Places the first waiting ask on another target that is known to have room.
+    fn move_waiting(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        target: &TargetId,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let Some(ask) = self.next_waiting(service, target) else {
+            return false;
+        };
+        let pool = &self.pools[service];
+        let has_room = pool.loads.iter().any(|(t, _, _)| {
+            t != target && !is_known_full(pool, t) && self.is_candidate(pool, t, &ask)
+        });
+        if !has_room {
+            return false;
+        }
+        let pool = self.pools.get_mut(service).expect("pool");
+        let popped = pool.queues.get_mut(target).and_then(crate::Queue::pop);
+        let Some(mut ask) = popped.map(|w| w.ask) else {
+            return false;
+        };
+        ask.tried.push(target.clone());
+        ask.full = false;
+        ask.hops = 0;
+        self.counters.moved += 1;
+        self.place(now, ask, out);
+        true
+    }
+
+    pub(super) fn cancel_came(&mut self, service: &str, entry: &InstanceId, ask: u64) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            for queue in pool.queues.values_mut() {
+                queue.cancel(entry, ask);
+            }
+        }
+    }
+
+    /// Frees the slot of an attempt and notes where the chat's cache lies.
+    pub(super) fn released(&mut self, now: Time, release: &Release, out: &mut Vec<Command>) {
+        let Some(pool) = self.pools.get_mut(&release.service) else {
+            return;
+        };
+        let target = &release.place.target;
+        let first = release.first_ms.map(|ms| f64::from(ms) / 1_000.0);
+        let is_freed = pool
+            .slots
+            .get_mut(target)
+            .is_some_and(|s| s.release(now, release.grant, release.whole, first));
+        if is_freed
+            && release.refused
+            && let Some(slots) = pool.slots.get_mut(target)
+        {
+            slots.unreachable(now);
+        }
+        if is_freed {
+            pool.note_load(now, target);
+        }
+        if release.whole && pool.home(release.chat) == Some(&self.me) {
+            self.chats.served(now, release.chat, release.place.clone());
+        }
+        if is_freed {
+            self.serve(now, &release.service, target, out);
+        }
+    }
+
+    pub(super) fn holds_came(&mut self, now: Time, from: &InstanceId, holds: Vec<Hold>) {
+        for hold in holds {
+            let Some(pool) = self.pools.get_mut(&hold.service) else {
+                continue;
+            };
+            if let Some(slots) = pool.slots.get_mut(&hold.target) {
+                slots.hold(now, hold.grant, (from.clone(), hold.workspace));
+                pool.note_load(now, &hold.target);
+            }
+        }
+    }
+
+    pub(super) fn cached(
+        &mut self,
+        service: &ServiceId,
+        target: &TargetId,
+        chats: Vec<(ChatId, u32)>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(pool) = self.pools.get(service) else {
+            return;
+        };
+        let mut elsewhere = std::collections::BTreeMap::<InstanceId, Vec<_>>::new();
+        for (chat, tokens) in chats {
+            let place = crate::chats::Place {
+                target: target.clone(),
+                tokens,
+            };
+            match pool.home(chat) {
+                Some(home) if *home == self.me => self.chats.corrected(chat, place),
+                Some(home) => elsewhere
+                    .entry(home.clone())
+                    .or_default()
+                    .push((chat, place)),
+                None => {}
+            }
+        }
+        for (to, chats) in elsewhere {
+            let message = Message::Cached(chats);
+            out.push(Command::Send { to, message });
+        }
+    }
+}
+
+fn is_known_full(pool: &Pool, target: &str) -> bool {
+    let limits = &pool.versioned.document.limits;
+    let Some((load, cap)) = pool.loads.get(target) else {
+        return false;
+    };
+    load >= cap.min(pool.loads.bound(cap, limits.multiple))
+}
+
+/// The less used of a new chat's first two choices (Mitzenmacher, "The Power
+/// of Two Choices in Randomized Load Balancing", 2001).
+fn less_used<'a>(pool: &Pool, first: &'a str, ranked: &[&'a str]) -> &'a str {
+    let share = |target: &str| match pool.loads.get(target) {
+        Some((load, cap)) => f64::from(load) / f64::from(cap.max(1)),
+        None => 0.0,
+    };
+    let second = ranked.iter().find(|t| **t != first);
+    match second {
+        Some(second) if share(second) < share(first) => second,
+        _ => first,
+    }
+}
--- /dev/null
+++ b/crates/decision/src/queue.rs
@@ -0,0 +1,121 @@
+//! Bounded queue with priorities and weighted shares of workspaces.
+
+use crate::id::{Time, WorkspaceId};
+use crate::message::Ask;
+use std::collections::BTreeMap;
+
+/// Fixed-point scale of virtual time.
+const SCALE: u64 = 1 << 20;
+
+/// An ask that waits for a slot.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The ask.
+    pub ask: Ask,
+    /// Time at which it is refused.
+    pub expires: Time,
+    start: u64,
+    finish: u64,
+}
+
+/// Asks that wait for one target, served by start-time fair queueing.
+///
+/// Higher priorities go first; within one, each workspace advances in
+/// proportion to its share (Goyal, Vin and Cheng, "Start-Time Fair Queueing",
+/// 1996). A full queue drops the entry that would be served last, so that a
+/// workspace that surges displaces its own requests first.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    items: BTreeMap<(u8, u64, u64), Waiting>,
+    finish: BTreeMap<WorkspaceId, u64>,
+    clock: u64,
+    seq: u64,
+}
+
+impl Queue {
+    /// Asks that wait.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Adds an ask; returns the one that the full queue pushed out, if any.
+    pub fn push(&mut self, ask: Ask, expires: Time, share: u32, limit: usize) -> Option<Ask> {
+        self.seq += 1;
+        let last = self.finish.get(&ask.workspace).copied().unwrap_or(0);
+        let start = self.clock.max(last);
+        let finish = start + SCALE / u64::from(share.max(1));
+        self.finish.insert(ask.workspace.clone(), finish);
+        let class = u8::MAX - ask.priority;
+        let waiting = Waiting {
+            ask,
+            expires,
+            start,
+            finish,
+        };
+        self.items.insert((class, start, self.seq), waiting);
+        if self.items.len() <= limit {
+            return None;
+        }
+        let (_, dropped) = self.items.pop_last()?;
+        self.undo(&dropped);
+        Some(dropped.ask)
+    }
+
+    /// Takes the ask that is next in turn.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let ((_, start, _), waiting) = self.items.pop_first()?;
+        self.clock = self.clock.max(start);
+        if self.items.is_empty() {
+            self.finish.clear();
+            self.clock = 0;
+        }
+        Some(waiting)
+    }
+
+    /// The ask that is next in turn.
+    pub fn peek(&self) -> Option<&Ask> {
+        self.items.first_key_value().map(|(_, w)| &w.ask)
+    }
+
+    /// Takes every ask whose time has passed.
+    pub fn expire(&mut self, now: Time) -> Vec<Ask> {
+        self.remove(|w| w.expires <= now)
+    }
+
+    /// Takes out the ask of an entry, because its caller has gone.
+    pub fn cancel(&mut self, entry: &str, ask: u64) -> bool {
+        !self
+            .remove(|w| w.ask.entry == entry && w.ask.id == ask)
+            .is_empty()
+    }
+
+    /// Takes out everything.
+    pub fn drain(&mut self) -> Vec<Ask> {
+        self.remove(|_| true)
+    }
+
+    fn remove(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Ask> {
+        let keys: Vec<_> = self
+            .items
+            .iter()
+            .filter(|(_, w)| gone(w))
+            .map(|(key, _)| *key)
+            .collect();
+        let taken = keys.iter().filter_map(|key| self.items.remove(key));
+        taken.map(|w| w.ask).collect()
+    }
+
+    /// Gives a dropped ask's turn back, if it was its workspace's last.
+    fn undo(&mut self, dropped: &Waiting) {
+        if let Some(finish) = self.finish.get_mut(&dropped.ask.workspace)
+            && *finish == dropped.finish
+        {
+            *finish = dropped.start;
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/slots.rs
@@ -0,0 +1,284 @@
+//! The slot ledger of one target, kept by its steward.
+
+use crate::document::{Kind, Limits};
+use crate::id::{GrantId, InstanceId, Time, WorkspaceId};
+use crate::ramp::Ramp;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time without a renewal after which a grant lapses.
+pub(crate) const GRANT_LEASE: Duration = Duration::from_secs(10);
+/// Time for which a new steward grants only half of the headroom.
+pub(crate) const CAUTION: Duration = Duration::from_secs(3);
+/// Longest lag of a load report behind the target's true load.
+const REPORT_LAG: Duration = Duration::from_secs(2);
+/// Age past which a load report is ignored.
+const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Time for which a target that refused connections gets no grant.
+const REST: Duration = Duration::from_secs(1);
+
+/// A target's own report of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Number that changes with each start of the target.
+    pub boot: u64,
+    /// Requests that run or wait there.
+    pub running: u32,
+    /// Requests completed since the boot.
+    pub completed: u64,
+    /// Tokens in the prefix cache.
+    #[serde(default)]
+    pub cached: u64,
+}
+
+/// Why a target was not granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Denial {
+    /// The target bears no more.
+    Full,
+    /// The load would pass the multiple of the pool's mean.
+    Bound,
+    /// The target does not answer.
+    Down,
+    /// A request under suspicion runs there already.
+    Suspect,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    entry: InstanceId,
+    workspace: WorkspaceId,
+    renewed: Time,
+    suspect: bool,
+    since: Time,
+}
+
+/// Open grants, reports and cold-start state of one target.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    open: BTreeMap<GrantId, Open>,
+    ramp: Ramp,
+    report: Option<(Time, Report)>,
+    peaks: [u32; 2],
+    peak_at: Time,
+    foreign: u32,
+    cautious_until: Time,
+    rests_until: Time,
+    service_time: f64,
+}
+
+impl Slots {
+    /// Makes the ledger of a steward that starts now.
+    ///
+    /// `known_cap` is the cap that the former steward last told, if any. A
+    /// plain service, which reports no load, starts warm.
+    pub fn new(now: Time, kind: Kind, known_cap: Option<u32>, limits: &Limits) -> Self {
+        let mut ramp = match kind {
+            Kind::Engine => Ramp::default(),
+            Kind::Plain => Ramp::warm(limits),
+        };
+        if let Some(cap) = known_cap {
+            ramp.limit_to(cap, limits);
+        }
+        Slots {
+            open: BTreeMap::new(),
+            ramp,
+            report: None,
+            peaks: [0; 2],
+            peak_at: now,
+            foreign: 0,
+            cautious_until: now + CAUTION,
+            rests_until: Time::ZERO,
+            service_time: 0.0,
+        }
+    }
+
+    /// Load as known: open grants and what others have granted.
+    pub fn load(&self) -> u32 {
+        self.open.len() as u32 + self.foreign
+    }
+
+    /// Slots that the target bears now.
+    pub fn cap(&self, limits: &Limits) -> u32 {
+        self.ramp.cap(limits)
+    }
+
+    /// Whether the target bears its full load.
+    pub fn is_warm(&self, limits: &Limits) -> bool {
+        self.ramp.is_warm(limits)
+    }
+
+    /// Whether the target is left alone because it does not answer.
+    pub fn is_resting(&self, now: Time) -> bool {
+        now < self.rests_until
+    }
+
+    /// Last report.
+    pub fn report(&self) -> Option<Report> {
+        self.report.map(|r| r.1)
+    }
+
+    /// Estimated time until a slot is free for the last of `ahead` waiting.
+    pub fn wait_estimate(&self, ahead: usize, limits: &Limits) -> Duration {
+        let cap = f64::from(self.cap(limits).max(1));
+        Duration::from_secs_f64(self.service_time * (ahead as f64 + 1.0) / cap)
+    }
+
+    /// Grants a slot below `bound`, the highest load by the pool's mean.
+    pub fn grant(
+        &mut self,
+        now: Time,
+        grant: GrantId,
+        holder: (InstanceId, WorkspaceId),
+        bound: u32,
+        suspect: bool,
+        limits: &Limits,
+    ) -> Result<(), Denial> {
+        self.check(now, bound, suspect, limits)?;
+        self.insert(now, grant, holder, suspect);
+        Ok(())
+    }
+
+    /// Says whether a slot would be granted.
+    pub fn check(
+        &self,
+        now: Time,
+        bound: u32,
+        suspect: bool,
+        limits: &Limits,
+    ) -> Result<(), Denial> {
+        let load = self.load();
+        let cap = self.cap(limits);
+        // Half of the headroom, but never nothing while the target is idle.
+        let room = match cap.saturating_sub(load) {
+            room if now < self.cautious_until => room.div_ceil(2),
+            room => room,
+        };
+        match () {
+            () if self.is_resting(now) => Err(Denial::Down),
+            () if room == 0 => Err(Denial::Full),
+            () if now < self.cautious_until && self.recent(now) >= cap.div_ceil(2) => {
+                Err(Denial::Full)
+            }
+            () if load >= bound => Err(Denial::Bound),
+            () if suspect && self.open.values().any(|o| o.suspect) => Err(Denial::Suspect),
+            () => Ok(()),
+        }
+    }
+
+    fn recent(&self, now: Time) -> u32 {
+        let from = now.saturating_sub(CAUTION);
+        self.open.values().filter(|o| o.since >= from).count() as u32
+    }
+
+    fn insert(
+        &mut self,
+        now: Time,
+        grant: GrantId,
+        holder: (InstanceId, WorkspaceId),
+        suspect: bool,
+    ) {
+        let (entry, workspace) = holder;
+        let open = Open {
+            entry,
+            workspace,
+            renewed: now,
+            suspect,
+            since: now,
+        };
+        self.open.insert(grant, open);
+        self.peaks[0] = self.peaks[0].max(self.open.len() as u32);
+    }
+
+    /// Renews a grant, or learns one that a former steward gave.
+    pub fn hold(&mut self, now: Time, grant: GrantId, holder: (InstanceId, WorkspaceId)) {
+        if let Some(open) = self.open.get_mut(&grant) {
+            open.renewed = now;
+            return;
+        }
+        self.insert(now, grant, holder, false);
+        // The report of a former steward's work counted it as foreign.
+        self.foreign = self.foreign.saturating_sub(1);
+    }
+
+    /// Frees a slot; returns whether it was open.
+    pub fn release(
+        &mut self,
+        now: Time,
+        grant: GrantId,
+        whole: bool,
+        first_token: Option<f64>,
+    ) -> bool {
+        let Some(open) = self.open.remove(&grant) else {
+            return false;
+        };
+        if whole {
+            let took = now.saturating_sub(open.since).as_secs_f64();
+            self.service_time += 0.1 * (took - self.service_time);
+            self.ramp.completed(first_token);
+        }
+        true
+    }
+
+    /// Drops what an instance that is gone held; returns how many.
+    pub fn drop_entry(&mut self, entry: &str) -> usize {
+        let before = self.open.len();
+        self.open.retain(|_, open| open.entry != entry);
+        before - self.open.len()
+    }
+
+    /// Drops grants whose lease has lapsed; returns how many.
+    pub fn expire(&mut self, now: Time) -> usize {
+        if now.saturating_sub(self.peak_at) >= REPORT_LAG {
+            self.peaks = [self.open.len() as u32, self.peaks[0]];
+            self.peak_at = now;
+        }
+        if self
+            .report
+            .is_some_and(|(at, _)| now.saturating_sub(at) > REPORT_LIFE)
+        {
+            self.report = None;
+            self.foreign = 0;
+        }
+        let before = self.open.len();
+        self.open
+            .retain(|_, open| now.saturating_sub(open.renewed) < GRANT_LEASE);
+        before - self.open.len()
+    }
+
+    /// Takes a load report; returns whether the target turned cold again.
+    ///
+    /// Load beyond the highest count of open grants within the report's lag is
+    /// not ours: a former steward, or one on the other side of a partition,
+    /// granted it.
+    pub fn reported(&mut self, now: Time, report: Report) -> bool {
+        let peak = self.peaks[0].max(self.peaks[1]);
+        self.foreign = report.running.saturating_sub(peak);
+        self.report = Some((now, report));
+        self.rests_until = Time::ZERO;
+        self.ramp
+            .reported(report.boot, report.completed, report.cached)
+    }
+
+    /// Takes a failure to connect: the target rests for a short time.
+    pub fn unreachable(&mut self, now: Time) {
+        self.rests_until = now + REST;
+        self.report = None;
+        self.foreign = 0;
+    }
+
+    /// Starts the caution of a new steward again, as after a pause.
+    pub fn caution(&mut self, now: Time) {
+        self.cautious_until = now + CAUTION;
+    }
+
+    /// Open grants of each workspace.
+    pub fn by_workspace(&self) -> BTreeMap<WorkspaceId, u32> {
+        let mut counts = BTreeMap::new();
+        for open in self.open.values() {
+            *counts.entry(open.workspace.clone()).or_insert(0) += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,177 @@
+//! One outgoing connection to one instance.
+
+use crate::frame::{FRAME_MAX, Hello, encode};
+use crate::{Error, PeerEvent, Result, TlsStore};
+use decision::InstanceId;
+use futures_util::{SinkExt, StreamExt};
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{Bytes, Message as WsMessage};
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval of pings while frames are unacknowledged.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Silence after which a connection is given up.
+const PONG_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Idle time after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause before a peer that refused is dialled again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(300);
+/// Unacknowledged time after which the kernel drops a connection.
+const FRAMES_WAITING: usize = 1_024;
+
+/// Any stream that a WebSocket can run over.
+pub(crate) trait Stream: AsyncRead + AsyncWrite + Unpin + Send {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin + Send> Stream for T {}
+
+pub(crate) type Socket = WebSocketStream<Box<dyn Stream>>;
+
+/// What a link needs to dial.
+#[derive(Clone)]
+pub(crate) struct Dialer {
+    pub(crate) hello: Hello,
+    pub(crate) tls: Option<Arc<TlsStore>>,
+    pub(crate) events: flume::Sender<PeerEvent>,
+}
+
+/// Starts a link; frames sent to it go to the peer in order.
+pub(crate) fn start(dialer: Dialer, to: InstanceId, address: SocketAddr) -> flume::Sender<Vec<u8>> {
+    let (sender, frames) = flume::bounded(FRAMES_WAITING);
+    tokio::spawn(async move { run(&dialer, &to, address, &frames).await });
+    sender
+}
+
+pub(crate) fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(FRAME_MAX))
+        .max_frame_size(Some(FRAME_MAX))
+}
+
+async fn run(
+    dialer: &Dialer,
+    to: &InstanceId,
+    address: SocketAddr,
+    frames: &flume::Receiver<Vec<u8>>,
+) {
+    loop {
+        // Dialling waits for the first frame, so that idle peers cost nothing.
+        let Ok(first) = frames.recv_async().await else {
+            return;
+        };
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, dialer.dial(to, address)).await;
+        let ended = match connected {
+            Ok(Ok(socket)) => pump(socket, first, to, frames).await,
+            Ok(Err(e)) => Err(e),
+            Err(_) => Err(silent(to)),
+        };
+        if let Err(e) = ended {
+            log::debug!("link to {to}: {e}");
+            let _ = dialer.events.send(PeerEvent::Lost(to.clone()));
+            tokio::time::sleep(REDIAL_PAUSE).await;
+        }
+        if frames.is_disconnected() {
+            return;
+        }
+    }
+}
+
+impl Dialer {
+    async fn dial(&self, to: &InstanceId, address: SocketAddr) -> Result<Socket> {
+        let peer = to.as_str();
+        let tcp = TcpStream::connect(address)
+            .await
+            .context(io("connect", peer))?;
+        tcp.set_nodelay(true).context(io("connect", peer))?;
+        let stream: Box<dyn Stream> = match &self.tls {
+            None => Box::new(tcp),
+            Some(store) => {
+                let name = rustls::pki_types::ServerName::try_from(to.to_string())
+                    .map_err(|e| std::io::Error::other(e.to_string()))
+                    .context(io("TLS name", peer))?;
+                let connector = tokio_rustls::TlsConnector::from(store.configs().client);
+                let tls = connector.connect(name, tcp).await;
+                Box::new(tls.context(io("TLS greeting", peer))?)
+            }
+        };
+        let url = format!("ws://{address}/mesh");
+        let (mut socket, _) =
+            tokio_tungstenite::client_async_with_config(url, stream, Some(config()))
+                .await
+                .context(ws("greeting", peer))?;
+        let hello = WsMessage::Binary(encode(&self.hello).into());
+        socket.send(hello).await.context(ws("greeting", peer))?;
+        Ok(socket)
+    }
+}
+
+/// Sends frames until the connection is idle, broken or silent.
+async fn pump(
+    mut socket: Socket,
+    first: Vec<u8>,
+    to: &InstanceId,
+    frames: &flume::Receiver<Vec<u8>>,
+) -> Result<()> {
+    let peer = to.as_str();
+    let step = || ws("send", peer);
+    socket
+        .send(WsMessage::Binary(first.into()))
+        .await
+        .context(step())?;
+    let mut used = Instant::now();
+    let mut unacked = Some(Instant::now());
+    let mut ping = tokio::time::interval(PING_INTERVAL);
+    loop {
+        tokio::select! {
+            frame = frames.recv_async() => {
+                let Ok(frame) = frame else { return Ok(()) };
+                used = Instant::now();
+                unacked.get_or_insert(used);
+                socket.send(WsMessage::Binary(frame.into())).await.context(step())?;
+            }
+            received = socket.next() => match received {
+                Some(Ok(WsMessage::Pong(_))) => unacked = None,
+                Some(Ok(_)) => {}
+                Some(Err(e)) => return Err(e).context(ws("receive", peer)),
+                None => return Err(silent(to)),
+            },
+            _ = ping.tick() => {
+                match unacked {
+                    Some(since) if since.elapsed() >= PONG_TIMEOUT => return Err(silent(to)),
+                    Some(_) => socket.send(WsMessage::Ping(Bytes::new())).await.context(step())?,
+                    None if used.elapsed() >= IDLE_TIMEOUT => return Ok(()),
+                    None => {}
+                }
+            }
+        }
+    }
+}
+
+fn io(step: &'static str, peer: &str) -> crate::IoSnafu<&'static str, String> {
+    crate::IoSnafu {
+        step,
+        peer: peer.to_owned(),
+    }
+}
+
+fn ws(step: &'static str, peer: &str) -> crate::WebSocketSnafu<&'static str, String> {
+    crate::WebSocketSnafu {
+        step,
+        peer: peer.to_owned(),
+    }
+}
+
+fn silent(to: &InstanceId) -> Error {
+    Error::Io {
+        step: "wait for an answer",
+        peer: to.to_string(),
+        source: std::io::ErrorKind::TimedOut.into(),
+    }
+}
--- /dev/null
+++ b/crates/peer/src/ws.rs
@@ -0,0 +1,276 @@
+//! The mesh over WebSocket connections.
+
+use crate::frame::{Frame, Hello, PROTOCOL, decode, decode_hello, encode};
+use crate::link::{self, Dialer, Socket, Stream};
+use crate::{Error, Mesh, PeerEvent, Result, TlsStore};
+use decision::{Incarnation, InstanceId, Message};
+use futures_util::StreamExt;
+use serde::Serialize;
+use snafu::ResultExt;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_tungstenite::tungstenite::Message as WsMessage;
+
+/// Most incoming connections.
+const CONNECTIONS_MAX: usize = 2_048;
+/// Time for the greeting of an incoming connection.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(3);
+/// Silence after which an incoming connection is closed.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Bytes of a WebSocket frame's header, with its mask.
+const HEADER_BYTES: u64 = 6;
+
+/// Bytes and messages sent and received, by kind.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Traffic {
+    /// Messages and bytes sent, by kind.
+    pub sent: BTreeMap<&'static str, (u64, u64)>,
+    /// Messages and bytes received, by kind.
+    pub received: BTreeMap<&'static str, (u64, u64)>,
+    /// Messages of kinds that only a newer version knows.
+    pub unknown: u64,
+    /// Frames that could not be understood.
+    pub malformed: u64,
+    /// Messages dropped because a peer does not take them.
+    pub dropped: u64,
+}
+
+/// Builder of a [`WsMesh`].
+pub struct WsMeshBuilder {
+    hello: Hello,
+    listen: SocketAddr,
+    tls: Option<Arc<TlsStore>>,
+    events: flume::Sender<PeerEvent>,
+}
+
+impl WsMeshBuilder {
+    /// Uses mutual TLS.
+    #[must_use]
+    pub fn tls(mut self, store: TlsStore) -> Self {
+        self.tls = Some(Arc::new(store));
+        self
+    }
+
+    /// Opens the listening socket and starts the mesh.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound, or is open to other machines
+    /// and there is no TLS.
+    pub async fn start(self) -> Result<Arc<WsMesh>> {
+        let WsMeshBuilder {
+            hello,
+            listen,
+            tls,
+            events,
+        } = self;
+        if tls.is_none() && !listen.ip().is_loopback() {
+            return Err(Error::Open { address: listen });
+        }
+        let address = listen.to_string();
+        let io = || crate::IoSnafu {
+            step: "listen",
+            peer: address.clone(),
+        };
+        let listener = TcpListener::bind(listen).await.context(io())?;
+        let local = listener.local_addr().context(io())?;
+        let mesh = Arc::new(WsMesh {
+            dialer: Dialer {
+                hello,
+                tls,
+                events: events.clone(),
+            },
+            links: Mutex::new(BTreeMap::new()),
+            traffic: Mutex::new(Traffic::default()),
+            local,
+            incoming: AtomicU64::new(0),
+            runtime: tokio::runtime::Handle::current(),
+        });
+        tokio::spawn(accept(mesh.clone(), listener, events));
+        Ok(mesh)
+    }
+}
+
+type Link = (SocketAddr, flume::Sender<Vec<u8>>);
+
+/// The mesh over WebSocket connections.
+pub struct WsMesh {
+    dialer: Dialer,
+    links: Mutex<BTreeMap<InstanceId, Link>>,
+    traffic: Mutex<Traffic>,
+    local: SocketAddr,
+    incoming: AtomicU64,
+    runtime: tokio::runtime::Handle,
+}
+
+impl WsMesh {
+    /// Starts a builder; `events` gets what peers do.
+    pub fn builder(
+        instance: InstanceId,
+        incarnation: Incarnation,
+        listen: SocketAddr,
+        events: flume::Sender<PeerEvent>,
+    ) -> WsMeshBuilder {
+        WsMeshBuilder {
+            hello: Hello {
+                protocol: PROTOCOL,
+                instance,
+                incarnation,
+            },
+            listen,
+            tls: None,
+            events,
+        }
+    }
+
+    /// Address on which the mesh listens.
+    pub fn local(&self) -> SocketAddr {
+        self.local
+    }
+
+    fn link(&self, to: &InstanceId, address: SocketAddr) -> flume::Sender<Vec<u8>> {
+        let mut links = self.links.lock().expect("links");
+        match links.get(to) {
+            Some((known, sender)) if *known == address && !sender.is_disconnected() => {
+                sender.clone()
+            }
+            _ => {
+                let _guard = self.runtime.enter();
+                let sender = link::start(self.dialer.clone(), to.clone(), address);
+                links.insert(to.clone(), (address, sender.clone()));
+                sender
+            }
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut Traffic)) {
+        change(&mut self.traffic.lock().expect("traffic"));
+    }
+}
+
+impl Mesh for WsMesh {
+    fn send(&self, to: &InstanceId, address: SocketAddr, message: &Message) {
+        let frame = encode(message);
+        let bytes = frame.len() as u64 + HEADER_BYTES;
+        let is_sent = self.link(to, address).try_send(frame).is_ok();
+        self.count(|t| {
+            if !is_sent {
+                t.dropped += 1;
+                return;
+            }
+            let row = t.sent.entry(message.kind()).or_default();
+            row.0 += 1;
+            row.1 += bytes;
+        });
+    }
+
+    fn traffic(&self) -> Traffic {
+        self.traffic.lock().expect("traffic").clone()
+    }
+}
+
+async fn accept(mesh: Arc<WsMesh>, listener: TcpListener, events: flume::Sender<PeerEvent>) {
+    let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let permit = permits.clone().acquire_owned().await;
+        let Ok((tcp, from)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let mesh = mesh.clone();
+        let events = events.clone();
+        tokio::spawn(async move {
+            mesh.incoming.fetch_add(1, Ordering::Relaxed);
+            if let Err(e) = serve(&mesh, tcp, from, &events).await {
+                log::debug!("incoming mesh connection from {from}: {e}");
+            }
+            mesh.incoming.fetch_sub(1, Ordering::Relaxed);
+            drop(permit);
+        });
+    }
+}
+
+async fn serve(
+    mesh: &WsMesh,
+    tcp: TcpStream,
+    from: SocketAddr,
+    events: &flume::Sender<PeerEvent>,
+) -> Result<()> {
+    let peer = from.to_string();
+    let greeting = tokio::time::timeout(GREETING_TIMEOUT, greet(mesh, tcp, &peer)).await;
+    let (mut socket, hello) = greeting.unwrap_or_else(|_| Err(late(&peer)))?;
+    let sender = hello.instance;
+    loop {
+        let next = tokio::time::timeout(RECEIVE_TIMEOUT, socket.next()).await;
+        let bytes = match next {
+            Err(_) | Ok(None) => return Ok(()),
+            Ok(Some(Ok(WsMessage::Binary(bytes)))) => bytes,
+            Ok(Some(Ok(_))) => continue,
+            Ok(Some(Err(e))) => return Err(e).context(ws("receive", &peer)),
+        };
+        match decode(&sender, &bytes) {
+            Ok(Frame::Message(message)) => {
+                mesh.count(|t| {
+                    let row = t.received.entry(message.kind()).or_default();
+                    row.0 += 1;
+                    row.1 += bytes.len() as u64 + HEADER_BYTES;
+                });
+                let event = PeerEvent::Message {
+                    from: sender.clone(),
+                    message: *message,
+                };
+                if events.send_async(event).await.is_err() {
+                    return Ok(());
+                }
+            }
+            Ok(Frame::Unknown) => mesh.count(|t| t.unknown += 1),
+            Err(e) => {
+                mesh.count(|t| t.malformed += 1);
+                return Err(e);
+            }
+        }
+    }
+}
+
+async fn greet(mesh: &WsMesh, tcp: TcpStream, peer: &str) -> Result<(Socket, Hello)> {
+    let io = |step| crate::IoSnafu {
+        step,
+        peer: peer.to_owned(),
+    };
+    tcp.set_nodelay(true).context(io("accept"))?;
+    let stream: Box<dyn Stream> = match &mesh.dialer.tls {
+        None => Box::new(tcp),
+        Some(store) => {
+            let acceptor = tokio_rustls::TlsAcceptor::from(store.configs().server);
+            Box::new(acceptor.accept(tcp).await.context(io("TLS greeting"))?)
+        }
+    };
+    let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(link::config()))
+        .await
+        .context(ws("greeting", peer))?;
+    match socket.next().await {
+        Some(Ok(WsMessage::Binary(bytes))) => Ok((socket, decode_hello(peer, &bytes)?)),
+        Some(Err(e)) => Err(e).context(ws("greeting", peer)),
+        _ => Err(late(peer)),
+    }
+}
+
+fn ws(step: &'static str, peer: &str) -> crate::WebSocketSnafu<&'static str, String> {
+    crate::WebSocketSnafu {
+        step,
+        peer: peer.to_owned(),
+    }
+}
+
+fn late(peer: &str) -> Error {
+    Error::Io {
+        step: "greeting",
+        peer: peer.to_owned(),
+        source: std::io::ErrorKind::TimedOut.into(),
+    }
+}
--- /dev/null
+++ b/crates/target/src/plain.rs
@@ -0,0 +1,58 @@
+//! Plain services: one call, one whole answer.
+
+use crate::http::{self, Stopped};
+use crate::{Attempt, Call, Error, Heard, PollFuture, Target};
+use http_body_util::{BodyExt, Limited};
+use std::net::SocketAddr;
+
+/// Adapter for plain HTTP services.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HttpService;
+
+impl Target for HttpService {
+    fn dispatch(&self, call: Call) -> Attempt {
+        http::start(|heard| run(call, heard))
+    }
+
+    /// A plain service reports no load.
+    fn poll(&self, address: SocketAddr, _since: u64) -> PollFuture {
+        let error = Error {
+            step: "load report",
+            peer: address,
+            message: "a plain service reports no load".to_owned(),
+        };
+        Box::pin(std::future::ready(Err(error)))
+    }
+}
+
+async fn run(call: Call, heard: flume::Sender<Heard>) -> Result<(), Stopped> {
+    let request = http::request(&call)?;
+    let sender = http::connect(call.address).await?;
+    let _ = heard.send_async(Heard::Left).await;
+    let (answer, _driver) = sender.send(request).await?;
+    if http::header(&answer, http::NOT_RUN) == "true" {
+        return Err(Stopped::Before {
+            refused: false,
+            message: "the service says that it did not run".to_owned(),
+        });
+    }
+    let echo = http::header(&answer, http::REQUEST_ID);
+    if !echo.is_empty() && echo != call.attempt {
+        return Err(Stopped::After(
+            "the answer is for another request".to_owned(),
+        ));
+    }
+    let status = answer.status().as_u16();
+    let content_type = http::header(&answer, "content-type").into();
+    let limited = Limited::new(answer.into_body(), http::BODY_MAX);
+    // A body that ends before its stated length is an error here.
+    let body = limited.collect().await;
+    let body = body.map_err(|e| Stopped::After(e.to_string()))?.to_bytes();
+    let whole = Heard::Whole {
+        status,
+        content_type,
+        body: body.to_vec(),
+    };
+    let _ = heard.send_async(whole).await;
+    Ok(())
+}
