Hold the cold cap under pauses, partitions and repeats

Cause, each found by the new property tests over decision states: - a queued ask that was served twice recursed without end, because the queue was popped only after the grant had come back; - a repeated grant message was given back, which freed a slot in use; - a grant that waited in the sockets of a paused instance was used after it had lapsed; - slots of lapsed grants were freed though the requests still ran; - an instance back from the dead kept its old ledgers and granted at once, and two halves of a partition each granted the whole cold cap; - asks in the queue of a target whose requests never end were not served.

Change: pop before granting; ignore a grant that is held; number asks anew after a pause; free a lapsed slot only when a report shows that its request is over; share a cold target's cap by the part of the fleet that is seen; be cautious when a member returns; move asks that wait long to their next choice's queue.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod client;
 pub mod kit;
+pub mod net;
 pub mod standin;
--- a/crates/decision/src/members.rs
+++ b/crates/decision/src/members.rs
@@ -113,6 +113,7 @@
     timing: Timing,
     view: u64,
     round: u64,
+    returns: u64,
 }
 
 impl Members {
@@ -136,6 +137,7 @@
             timing,
             view: 0,
             round: 0,
+            returns: 0,
         };
         members.spread(&me.id);
         members.turn();
@@ -147,6 +149,11 @@
         self.view
     }
 
+    /// Number that rises whenever an instance that counted as dead is back.
+    pub(crate) fn returns(&self) -> u64 {
+        self.returns
+    }
+
     /// This instance.
     pub fn me(&self) -> &Member {
         &self.by_id[&self.me]
@@ -168,6 +175,14 @@
         live.map(|(id, _)| id)
     }
 
+    /// How many instances are seen alive, and how many that may be: those that
+    /// said that they leave are not missed.
+    pub(crate) fn sight(&self) -> (usize, usize) {
+        let alive = self.live().count();
+        let missing = self.by_id.values().filter(|m| m.status == Status::Dead);
+        (alive, alive + missing.count())
+    }
+
     /// Whether an instance is live.
     pub fn is_live(&self, id: &str) -> bool {
         self.by_id.get(id).is_some_and(Member::is_live)
@@ -246,6 +261,7 @@
         if revived {
             member.heard = now;
         }
+        self.returns += u64::from(member.status == Status::Dead);
         member.status = rumour.status;
         member.changed = now;
         self.spread(&rumour.instance);
@@ -348,6 +364,7 @@
         if member.status == status || (member.status == Status::Dead && status == Status::Leaving) {
             return;
         }
+        self.returns += u64::from(member.status == Status::Dead);
         member.status = status;
         member.changed = now;
         let id = InstanceId::from(id);
--- a/crates/decision/src/node/entry.rs
+++ b/crates/decision/src/node/entry.rs
@@ -69,7 +69,7 @@
             return;
         }
         let ask = Ask {
-            id,
+            id: self.number(id),
             entry: InstanceId::default(),
             service,
             workspace,
@@ -94,6 +94,36 @@
         self.send_ask(now, id, out);
     }
 
+    /// Gives a pending ask a number for the mesh.
+    fn number(&mut self, id: AskId) -> AskId {
+        self.next_number += 1;
+        self.numbers.insert(self.next_number, id);
+        self.next_number
+    }
+
+    /// Takes a pending ask by its number on the mesh.
+    fn take_pending(&mut self, number: AskId) -> Option<(AskId, PendingAsk)> {
+        let id = self.numbers.remove(&number)?;
+        let pending = self.pending.remove(&id)?;
+        Some((id, pending))
+    }
+
+    /// Asks anew for everything that is pending, under new numbers.
+    ///
+    /// After a pause a grant may wait in the sockets that has lapsed long ago.
+    pub(super) fn renumber(&mut self, now: Time, out: &mut Vec<Command>) {
+        self.numbers.clear();
+        let ids: Vec<AskId> = self.pending.keys().copied().collect();
+        for id in ids {
+            let number = self.number(id);
+            if let Some(pending) = self.pending.get_mut(&id) {
+                pending.ask.id = number;
+                pending.asked = None;
+            }
+            self.send_ask(now, id, out);
+        }
+    }
+
     /// Draws a retry on the budgets of its workspace and its pool.
     fn may_try(&mut self, now: Time, service: &ServiceId, workspace: &str, retry: bool) -> bool {
         let pool_key = (service.clone(), WorkspaceId::default());
@@ -127,12 +157,10 @@
             (Some(steward) != silent.as_ref()).then(|| (target, steward.clone()))
         });
         let Some((target, steward)) = next else {
-            let refused = self.pending.remove(&id).map(|p| p.ask);
-            if let Some(ask) = refused {
-                out.push(Command::Denied {
-                    ask: ask.id,
-                    code: DenyCode::NoTarget,
-                });
+            if let Some(pending) = self.pending.remove(&id) {
+                self.numbers.remove(&pending.ask.id);
+                let code = DenyCode::NoTarget;
+                out.push(Command::Denied { ask: id, code });
             }
             return;
         };
@@ -185,8 +213,18 @@
         }
     }
 
-    pub(super) fn grant_came(&mut self, now: Time, grant: Grant, out: &mut Vec<Command>) {
-        let Some(pending) = self.pending.remove(&grant.ask) else {
+    pub(super) fn grant_came(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        grant: Grant,
+        out: &mut Vec<Command>,
+    ) {
+        if self.held.contains_key(&grant.grant) {
+            // A repeated message: giving it back would free the slot in use.
+            return;
+        }
+        let Some((id, mut pending)) = self.take_pending(grant.ask) else {
             return self.give_back(now, &grant, out);
         };
         let ask = &pending.ask;
@@ -203,25 +241,48 @@
             target: grant.target.clone(),
             workspace: ask.workspace.clone(),
         };
+        self.tell_steward(now, from, &hold, out);
         self.held.insert(grant.grant, HeldGrant { hold });
         let Some(address) = address else {
             // The steward has not heard of an order that is known here.
             self.give_back(now, &grant, out);
-            let id = grant.ask;
-            let mut pending = pending;
             pending.ask.tried.push(grant.target);
             pending.asked = None;
+            pending.ask.id = self.number(id);
             self.pending.insert(id, pending);
             return self.send_ask(now, id, out);
         };
         out.push(Command::Granted {
-            ask: grant.ask,
+            ask: id,
             grant: grant.grant,
             target: grant.target,
             address,
         });
     }
 
+    /// Tells the steward known here of a grant that another one gave.
+    fn tell_steward(
+        &mut self,
+        now: Time,
+        granted_by: &InstanceId,
+        hold: &Hold,
+        out: &mut Vec<Command>,
+    ) {
+        let pool = self.pools.get(&hold.service);
+        let steward = pool.and_then(|p| p.steward(&hold.target)).cloned();
+        match steward {
+            Some(steward) if steward == *granted_by => {}
+            Some(steward) if steward == self.me => {
+                self.holds_came(now, &steward, vec![hold.clone()]);
+            }
+            Some(to) => out.push(Command::Send {
+                to,
+                message: Message::Held(vec![hold.clone()]),
+            }),
+            None => {}
+        }
+    }
+
     /// Returns a grant that nothing will use.
     fn give_back(&mut self, now: Time, grant: &Grant, out: &mut Vec<Command>) {
         self.counters.given_back += 1;
@@ -241,15 +302,16 @@
         found.map(|(service, _)| service.clone())
     }
 
-    pub(super) fn deny_came(&mut self, ask: AskId, code: DenyCode, out: &mut Vec<Command>) {
-        if self.pending.remove(&ask).is_some() {
+    pub(super) fn deny_came(&mut self, number: AskId, code: DenyCode, out: &mut Vec<Command>) {
+        if let Some((ask, _)) = self.take_pending(number) {
             self.counters.refused += 1;
             out.push(Command::Denied { ask, code });
         }
     }
 
-    pub(super) fn queued_came(&mut self, now: Time, ask: AskId, from: &InstanceId) {
-        if let Some(pending) = self.pending.get_mut(&ask) {
+    pub(super) fn queued_came(&mut self, now: Time, number: AskId, from: &InstanceId) {
+        let id = self.numbers.get(&number);
+        if let Some(pending) = id.and_then(|id| self.pending.get_mut(id)) {
             pending.queued = true;
             pending.sent = now;
             pending.asked = Some(from.clone());
@@ -260,6 +322,8 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
+        let id = pending.ask.id;
+        self.numbers.remove(&id);
         let service = pending.ask.service;
         match pending.asked {
             Some(holder) if holder == self.me => {
--- a/crates/decision/src/node/mod.rs
+++ b/crates/decision/src/node/mod.rs
@@ -254,12 +254,15 @@
     incarnation: Incarnation,
     members: Members,
     view: u64,
+    returns: u64,
     pools: BTreeMap<ServiceId, Pool>,
     chats: Chats,
     marks: Marks,
     quarantine: Quarantine,
     budgets: BTreeMap<(ServiceId, WorkspaceId), Budget>,
     pending: BTreeMap<AskId, PendingAsk>,
+    numbers: BTreeMap<AskId, AskId>,
+    next_number: AskId,
     held: BTreeMap<GrantId, HeldGrant>,
     moving: Vec<(InstanceId, Message)>,
     grants: u64,
@@ -283,12 +286,15 @@
             incarnation,
             members: Members::new(&me, incarnation, timing, now),
             view: 0,
+            returns: 0,
             pools: BTreeMap::new(),
             chats: Chats::new(chats),
             marks: Marks::default(),
             quarantine: Quarantine::default(),
             budgets: BTreeMap::new(),
             pending: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            next_number: 0,
             held: BTreeMap::new(),
             moving: Vec::new(),
             grants: 0,
@@ -430,6 +436,7 @@
             pool.caution(now);
         }
         self.renew_held(now, out);
+        self.renumber(now, out);
         out.push(Command::Woke(gap));
     }
 
@@ -441,7 +448,7 @@
                 }
                 self.place(now, ask, out);
             }
-            Message::Grant(grant) => self.grant_came(now, grant, out),
+            Message::Grant(grant) => self.grant_came(now, from, grant, out),
             Message::Deny { ask, code } => self.deny_came(ask, code, out),
             Message::Queued(ask) => self.queued_came(now, ask, from),
             Message::Cancel { service, ask } => self.cancel_came(&service, from, ask),
@@ -526,6 +533,13 @@
             return;
         }
         self.view = self.members.view();
+        if self.returns != self.members.returns() {
+            // The one that is back may have granted slots of the same targets.
+            self.returns = self.members.returns();
+            for pool in self.pools.values_mut() {
+                pool.caution(now);
+            }
+        }
         let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
         for service in services {
             self.assign(now, &service, out);
--- a/crates/decision/src/node/place.rs
+++ b/crates/decision/src/node/place.rs
@@ -4,6 +4,7 @@
 use super::{Command, Node};
 use crate::id::{ChatId, InstanceId, ServiceId, TargetId, Time};
 use crate::message::{Ask, DenyCode, Grant, Hold, Message, Release};
+use crate::queue::Waiting;
 use crate::slots::Denial;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 const HOPS: u8 = 6;
 /// Queued asks of one target that are placed elsewhere in one tick.
 const MOVES_A_TICK: usize = 4;
+/// Queues in which an ask waits in turn within its longest wait.
+const QUEUES_A_WAIT: u32 = 4;
 
 impl Node {
     /// Places an ask: grants it here, passes it on, or queues it.
@@ -147,7 +150,7 @@
         }
         let me = self.me.clone();
         match message {
-            Message::Grant(grant) => self.grant_came(now, grant, out),
+            Message::Grant(grant) => self.grant_came(now, &me, grant, out),
             Message::Deny { ask, code } => self.deny_came(ask, code, out),
             Message::Queued(ask) => self.queued_came(now, ask, &me),
             _ => {}
@@ -183,12 +186,13 @@
     fn enqueue(&mut self, now: Time, mut ask: Ask, out: &mut Vec<Command>) {
         let pool = &self.pools[&ask.service];
         let ranking = pool.ranking(ask.chat);
-        let Some(target) = ranking.into_iter().find(|t| pool.slots.contains_key(*t)) else {
+        let wanted = std::mem::take(&mut ask.target);
+        let mut queues = std::iter::once(wanted.as_str()).chain(ranking);
+        let Some(target) = queues.find(|t| pool.slots.contains_key(*t)) else {
             return self.deny(&ask, DenyCode::NoTarget, out);
         };
         let target = TargetId::from(target);
         ask.tried.clear();
-        ask.target = TargetId::default();
         let takes_work = self.is_candidate(pool, &target, &ask);
         let is_first = pool.queues.get(&target).is_none_or(crate::Queue::is_empty);
         if takes_work && is_first && self.try_grant(now, &ask, &target, 1, out).is_ok() {
@@ -206,7 +210,7 @@
         let share = document.workspace(&ask.workspace).map_or(1, |w| w.share);
         let entry = ask.entry.clone();
         let id = ask.id;
-        let dropped = queue.push(ask, now + wait, share, limits.queue);
+        let dropped = queue.push(ask, (now, now + wait), share, limits.queue);
         if let Some(dropped) = &dropped {
             self.counters.shed += 1;
             self.deny(dropped, DenyCode::Overloaded, out);
@@ -228,14 +232,15 @@
     ) {
         while let Some(ask) = self.next_waiting(service, target) {
             let pool = &self.pools[service];
-            if !self.is_candidate(pool, target, &ask) {
-                return;
-            }
-            if self.try_grant(now, &ask, target, 0, out).is_err() {
+            if !self.is_candidate(pool, target, &ask) || !has_room(pool, now, target, &ask) {
                 return;
             }
+            // Out of the queue first: a grant that comes back at once serves it again.
             let pool = self.pools.get_mut(service).expect("pool");
             pool.queues.get_mut(target).and_then(crate::Queue::pop);
+            if self.try_grant(now, &ask, target, 0, out).is_err() {
+                return self.push(now, target, ask, out);
+            }
         }
     }
 
@@ -260,6 +265,45 @@
                     break;
                 }
             }
+            self.move_stale(now, service, &target, out);
+        }
+    }
+
+    /// Sends asks that have waited for long to the queue of their next choice,
+    /// because a target whose requests are long hardly serves its queue.
+    fn move_stale(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        target: &TargetId,
+        out: &mut Vec<Command>,
+    ) {
+        let pool = self.pools.get_mut(service).expect("pool");
+        let patience = pool.versioned.document.limits.queue_time / QUEUES_A_WAIT;
+        let Some(since) = now.checked_sub(patience) else {
+            return;
+        };
+        let queue = pool.queues.get_mut(target);
+        let stale = queue.map(|q| q.take_older(since)).unwrap_or_default();
+        for waiting in stale {
+            let mut ask = remaining(now, waiting);
+            let pool = &self.pools[service];
+            let ranking = pool.ranking(ask.chat);
+            let at = ranking.iter().position(|t| t == target).unwrap_or(0);
+            let others = ranking.iter().cycle().skip(at + 1).take(ranking.len());
+            let mut others = others.filter(|t| self.is_candidate(pool, t, &ask));
+            let next = TargetId::from(*others.next().unwrap_or(&target.as_str()));
+            let steward = pool.steward(&next).cloned();
+            ask.full = true;
+            ask.hops = 0;
+            self.counters.moved += 1;
+            match steward {
+                Some(steward) if steward != self.me => self.pass_on(steward, next, ask, out),
+                _ => {
+                    ask.target = next;
+                    self.enqueue(now, ask, out);
+                }
+            }
         }
     }
 
@@ -283,7 +327,7 @@
         }
         let pool = self.pools.get_mut(service).expect("pool");
         let popped = pool.queues.get_mut(target).and_then(crate::Queue::pop);
-        let Some(mut ask) = popped.map(|w| w.ask) else {
+        let Some(mut ask) = popped.map(|w| remaining(now, w)) else {
             return false;
         };
         ask.tried.push(target.clone());
@@ -374,6 +418,24 @@
     }
 }
 
+/// An ask out of a queue, with what is left of its wait.
+fn remaining(now: Time, waiting: Waiting) -> Ask {
+    let left = waiting.expires.saturating_sub(now).as_millis();
+    Ask {
+        wait_ms: u32::try_from(left).unwrap_or(u32::MAX),
+        ..waiting.ask
+    }
+}
+
+/// Whether the ledger of a target would grant an ask.
+fn has_room(pool: &Pool, now: Time, target: &str, ask: &Ask) -> bool {
+    let limits = &pool.versioned.document.limits;
+    pool.slots.get(target).is_some_and(|slots| {
+        let bound = pool.loads.bound(slots.cap(limits), limits.multiple);
+        slots.check(now, bound, ask.suspect, limits).is_ok()
+    })
+}
+
 fn is_known_full(pool: &Pool, target: &str) -> bool {
     let limits = &pool.versioned.document.limits;
     let Some((load, cap)) = pool.loads.get(target) else {
--- a/crates/decision/src/node/pool.rs
+++ b/crates/decision/src/node/pool.rs
@@ -280,6 +280,10 @@
         };
         let had: Vec<TargetId> = pool.slots.keys().cloned().collect();
         pool.assign(now, &self.me, &live);
+        let (alive, known) = self.members.sight();
+        for slots in pool.slots.values_mut() {
+            slots.set_sight(alive, known);
+        }
         pool.follow_marks(now, &self.marks);
         let lost: Vec<TargetId> = had
             .into_iter()
@@ -343,11 +347,12 @@
         let targets: Vec<TargetId> = pool.slots.keys().cloned().collect();
         for target in &targets {
             let slots = pool.slots.get_mut(target).expect("ledger");
-            let mut lapsed = slots.expire(now);
             for id in &dead {
-                lapsed += slots.drop_entry(id);
+                slots.drop_entry(id);
             }
-            self.counters.lapsed += lapsed as u64;
+            self.counters.lapsed += slots.expire(now) as u64;
+            let (alive, known) = self.members.sight();
+            slots.set_sight(alive, known);
             pool.note_load(now, target);
         }
     }
--- a/crates/decision/src/queue.rs
+++ b/crates/decision/src/queue.rs
@@ -14,6 +14,8 @@
     pub ask: Ask,
     /// Time at which it is refused.
     pub expires: Time,
+    /// Time since which it has waited here.
+    pub since: Time,
     start: u64,
     finish: u64,
 }
@@ -43,8 +45,15 @@
         self.items.is_empty()
     }
 
-    /// Adds an ask; returns the one that the full queue pushed out, if any.
-    pub fn push(&mut self, ask: Ask, expires: Time, share: u32, limit: usize) -> Option<Ask> {
+    /// Adds an ask at `now`, to wait until `expires`; returns the one that the
+    /// full queue pushed out, if any.
+    pub fn push(
+        &mut self,
+        ask: Ask,
+        (now, expires): (Time, Time),
+        share: u32,
+        limit: usize,
+    ) -> Option<Ask> {
         self.seq += 1;
         let last = self.finish.get(&ask.workspace).copied().unwrap_or(0);
         let start = self.clock.max(last);
@@ -54,6 +63,7 @@
         let waiting = Waiting {
             ask,
             expires,
+            since: now,
             start,
             finish,
         };
@@ -84,7 +94,13 @@
 
     /// Takes every ask whose time has passed.
     pub fn expire(&mut self, now: Time) -> Vec<Ask> {
-        self.remove(|w| w.expires <= now)
+        let expired = self.remove(|w| w.expires <= now);
+        expired.into_iter().map(|w| w.ask).collect()
+    }
+
+    /// Takes every ask that has waited here since `since` or longer.
+    pub fn take_older(&mut self, since: Time) -> Vec<Waiting> {
+        self.remove(|w| w.since <= since)
     }
 
     /// Takes out the ask of an entry, because its caller has gone.
@@ -96,10 +112,11 @@
 
     /// Takes out everything.
     pub fn drain(&mut self) -> Vec<Ask> {
-        self.remove(|_| true)
+        let all = self.remove(|_| true);
+        all.into_iter().map(|w| w.ask).collect()
     }
 
-    fn remove(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Ask> {
+    fn remove(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
         let keys: Vec<_> = self
             .items
             .iter()
@@ -107,7 +124,7 @@
             .map(|(key, _)| *key)
             .collect();
         let taken = keys.iter().filter_map(|key| self.items.remove(key));
-        taken.map(|w| w.ask).collect()
+        taken.collect()
     }
 
     /// Gives a dropped ask's turn back, if it was its workspace's last.
--- a/crates/decision/src/slots.rs
+++ b/crates/decision/src/slots.rs
@@ -52,6 +52,7 @@
     renewed: Time,
     suspect: bool,
     since: Time,
+    lapsed: bool,
 }
 
 /// Open grants, reports and cold-start state of one target.
@@ -66,6 +67,8 @@
     cautious_until: Time,
     rests_until: Time,
     service_time: f64,
+    sight: (usize, usize),
+    reports: bool,
 }
 
 impl Slots {
@@ -91,6 +94,28 @@
             cautious_until: now + CAUTION,
             rests_until: Time::ZERO,
             service_time: 0.0,
+            sight: (1, 1),
+            reports: kind == Kind::Engine,
+        }
+    }
+
+    /// Sets how many instances this one sees alive, of how many it knows.
+    ///
+    /// Those that it does not see may be on the other side of a partition and
+    /// grant slots there, so a cold target is shared in proportion.
+    pub(crate) fn set_sight(&mut self, alive: usize, known: usize) {
+        self.sight = (alive, known.max(1));
+    }
+
+    /// This side's share of a cold target's slots; the shares of all sides of
+    /// a partition never add up to more than the cap.
+    fn cold_share(&self, cap: u32) -> u32 {
+        let (alive, known) = self.sight;
+        let share = (cap as usize * alive / known) as u32;
+        if 2 * alive > known {
+            share.max(1)
+        } else {
+            share
         }
     }
 
@@ -150,23 +175,29 @@
     ) -> Result<(), Denial> {
         let load = self.load();
         let cap = self.cap(limits);
-        // Half of the headroom, but never nothing while the target is idle.
-        let room = match cap.saturating_sub(load) {
-            room if now < self.cautious_until => room.div_ceil(2),
-            room => room,
+        let is_cautious = now < self.cautious_until;
+        let room = match () {
+            // A former steward may still be granting: a cold target bears no error.
+            () if is_cautious && !self.is_warm(limits) => 0,
+            () if is_cautious => self.cautious_room(now, cap, load),
+            () if self.is_warm(limits) => cap.saturating_sub(load),
+            () => self.cold_share(cap).saturating_sub(load),
         };
         match () {
             () if self.is_resting(now) => Err(Denial::Down),
             () if room == 0 => Err(Denial::Full),
-            () if now < self.cautious_until && self.recent(now) >= cap.div_ceil(2) => {
-                Err(Denial::Full)
-            }
             () if load >= bound => Err(Denial::Bound),
             () if suspect && self.open.values().any(|o| o.suspect) => Err(Denial::Suspect),
             () => Ok(()),
         }
     }
 
+    /// Half of the headroom, and no more than half of the cap in new grants.
+    fn cautious_room(&self, now: Time, cap: u32, load: u32) -> u32 {
+        let half = cap.saturating_sub(load).div_ceil(2);
+        half.min(cap.div_ceil(2).saturating_sub(self.recent(now)))
+    }
+
     fn recent(&self, now: Time) -> u32 {
         let from = now.saturating_sub(CAUTION);
         self.open.values().filter(|o| o.since >= from).count() as u32
@@ -186,6 +217,7 @@
             renewed: now,
             suspect,
             since: now,
+            lapsed: false,
         };
         self.open.insert(grant, open);
         self.peaks[0] = self.peaks[0].max(self.open.len() as u32);
@@ -195,6 +227,7 @@
     pub fn hold(&mut self, now: Time, grant: GrantId, holder: (InstanceId, WorkspaceId)) {
         if let Some(open) = self.open.get_mut(&grant) {
             open.renewed = now;
+            open.lapsed = false;
             return;
         }
         self.insert(now, grant, holder, false);
@@ -221,14 +254,19 @@
         true
     }
 
-    /// Drops what an instance that is gone held; returns how many.
-    pub fn drop_entry(&mut self, entry: &str) -> usize {
-        let before = self.open.len();
-        self.open.retain(|_, open| open.entry != entry);
-        before - self.open.len()
+    /// Lets the grants of an instance that seems gone lapse.
+    ///
+    /// It may only be cut off, and its requests may run on.
+    pub fn drop_entry(&mut self, entry: &str) {
+        for open in self.open.values_mut().filter(|o| o.entry == entry) {
+            open.lapsed = true;
+        }
     }
 
-    /// Drops grants whose lease has lapsed; returns how many.
+    /// Lets grants lapse whose lease is over; returns how many slots are freed.
+    ///
+    /// The slot of a target that reports its load is freed only when a report
+    /// shows that the request no longer runs there.
     pub fn expire(&mut self, now: Time) -> usize {
         if now.saturating_sub(self.peak_at) >= REPORT_LAG {
             self.peaks = [self.open.len() as u32, self.peaks[0]];
@@ -241,18 +279,36 @@
             self.report = None;
             self.foreign = 0;
         }
+        for open in self.open.values_mut() {
+            open.lapsed |= now.saturating_sub(open.renewed) >= GRANT_LEASE;
+        }
+        if self.reports {
+            return 0;
+        }
         let before = self.open.len();
-        self.open
-            .retain(|_, open| now.saturating_sub(open.renewed) < GRANT_LEASE);
+        self.open.retain(|_, open| !open.lapsed);
         before - self.open.len()
     }
 
+    /// Frees lapsed grants that a report shows to be over.
+    fn free_lapsed(&mut self, now: Time, running: u32) {
+        let is_seen = |o: &Open| now.saturating_sub(o.since) >= REPORT_LAG;
+        let seen = self.open.values().filter(|o| is_seen(o)).count();
+        let over = seen.saturating_sub(running as usize);
+        let lapsed = self.open.iter().filter(|(_, o)| o.lapsed && is_seen(o));
+        let freed: Vec<GrantId> = lapsed.map(|(grant, _)| *grant).take(over).collect();
+        for grant in freed {
+            self.open.remove(&grant);
+        }
+    }
+
     /// Takes a load report; returns whether the target turned cold again.
     ///
     /// Load beyond the highest count of open grants within the report's lag is
     /// not ours: a former steward, or one on the other side of a partition,
     /// granted it.
     pub fn reported(&mut self, now: Time, report: Report) -> bool {
+        self.free_lapsed(now, report.running);
         let peak = self.peaks[0].max(self.peaks[1]);
         self.foreign = report.running.saturating_sub(peak);
         self.report = Some((now, report));
