--- a/crates/bench/src/net.rs
+++ b/crates/bench/src/net.rs
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Whether an instance's process is stopped.
+    pub fn is_paused(&self, name: &str) -> bool {
+        self.paused.contains(name)
+    }
+
     /// Instances that run, paused ones included.
     pub fn instances(&self) -> Vec<InstanceId> {
         self.nodes.keys().cloned().collect()
@@ -170,8 +175,11 @@
         &self.nodes[name]
     }
 
-    /// Hands an event to an instance now.
+    /// Hands an event to an instance now, or when its pause is over.
     pub fn hand(&mut self, name: &str, event: Event) {
+        if self.paused.contains(name) {
+            return self.schedule(TICK, name.into(), event);
+        }
         let Some(node) = self.nodes.get_mut(name) else {
             return;
         };
@@ -233,7 +241,7 @@
         if self.paused.contains(name) {
             if !is_tick {
                 // The kernel keeps what arrives meanwhile.
-                self.schedule(TICK, name.clone(), event);
+                self.hand(name, event);
             }
             return;
         }
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -1,3 +1,5 @@
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 //! A pool of targets under a few decision states, with the true loads.
 
 use bench::kit;
@@ -186,6 +188,9 @@
 
     fn poll(&mut self) {
         for id in self.net.instances() {
+            if self.net.is_paused(&id) {
+                continue;
+            }
             for poll in self.net.node(&id).polls() {
                 let report = Report {
                     boot: self.boots.get(&poll.target).copied().unwrap_or(1),
