Measure the decisions against baselines, and wait for a chat's cache

Cause: nothing measured placement.

Change: bench policy, in virtual time; an ask whose chat is cached at a full target is held back there for as long as the cache is worth; a new chat goes to the least used of its first four choices.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod client;
 pub mod kit;
 pub mod net;
+pub mod policy;
 pub mod standin;
--- a/crates/bench/tests/whole_path.rs
+++ b/crates/bench/tests/whole_path.rs
@@ -131,17 +131,17 @@
 fn an_engine_that_crashes_under_an_answer_is_replaced() {
     let kit = kit(slow_engine());
     let whole = caller().chat(kit.caller(0), "assistant", "crash", &messages("boom"));
-    let served = kit
-        .engines
-        .iter()
-        .position(|e| !e.records().runs.is_empty());
-    let engine = kit.engines[served.expect("an engine")].clone();
+    let before: Vec<usize> = kit.engines.iter().map(|e| e.records().runs.len()).collect();
+    let serving = |kit: &Kit| {
+        let mut engines = kit.engines.iter().zip(&before);
+        engines.position(|(engine, before)| engine.records().runs.len() > *before)
+    };
     let at = kit.caller(2);
     let answer =
         std::thread::spawn(move || caller().chat(at, "assistant", "crash", &messages("boom")));
-    kit.wait("second run", |_| engine.records().runs.len() >= 2);
+    kit.wait("second run", |kit| serving(kit).is_some());
     std::thread::sleep(Duration::from_millis(100));
-    engine.crash(true);
+    kit.engines[serving(&kit).expect("an engine")].crash(true);
     let got = answer.join().expect("answer");
     assert!(got.whole, "{got:?}");
     assert_eq!(got.text, whole.text);
--- a/crates/decision/src/document.rs
+++ b/crates/decision/src/document.rs
@@ -2,7 +2,7 @@
 
 use crate::id::{DomainId, ServiceId, TargetId, Version, WorkspaceId};
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::{DurationMicroSeconds, DurationMilliSeconds, serde_as};
 use smol_str::SmolStr;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -101,6 +101,15 @@
     #[serde(rename = "queue_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub queue_time: Duration,
+    /// Time that a cached prompt token saves, in microseconds.
+    #[serde(rename = "token_us")]
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    pub token_time: Duration,
+    /// Longest wait for the target that caches a chat while others have room,
+    /// in milliseconds.
+    #[serde(rename = "hold_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub hold_time: Duration,
     /// Longest silence of a target within an answer, in milliseconds.
     #[serde(rename = "idle_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -126,6 +135,8 @@
             ramp_step: 2,
             queue: 64,
             queue_time: Duration::from_secs(10),
+            token_time: Duration::from_micros(200),
+            hold_time: Duration::from_millis(800),
             idle_time: Duration::from_secs(2),
             first_time: Duration::from_secs(10),
             total_time: Duration::from_secs(300),
@@ -264,6 +275,11 @@
                 "limits.idle_ms",
                 "must be over 0",
             ),
+            (
+                self.hold_time <= self.queue_time,
+                "limits.hold_ms",
+                "must be at most limits.queue_ms",
+            ),
             (
                 self.first_time >= self.idle_time,
                 "limits.first_ms",
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -44,6 +44,9 @@
     /// Targets that have denied it or must not be used.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub tried: Vec<TargetId>,
+    /// Milliseconds for which it may wait for the target that caches the chat.
+    #[serde(rename = "k", default, skip_serializing_if = "is_none")]
+    pub hold_ms: u16,
     /// Hops so far.
     #[serde(rename = "h", default, skip_serializing_if = "is_zero")]
     pub hops: u8,
@@ -381,6 +384,11 @@
     }
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
+fn is_none(n: &u16) -> bool {
+    *n == 0
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
 fn is_zero(n: &u8) -> bool {
     *n == 0
--- a/crates/decision/src/node/dump.rs
+++ b/crates/decision/src/node/dump.rs
@@ -30,6 +30,8 @@
     pub denied_down: u64,
     /// Denials because a suspect ran there already.
     pub denied_suspect: u64,
+    /// Asks that waited for the target that caches their chat.
+    pub held_back: u64,
     /// Asks that waited in a queue here.
     pub queued: u64,
     /// Queued asks that were placed on another target.
--- a/crates/decision/src/node/entry.rs
+++ b/crates/decision/src/node/entry.rs
@@ -80,6 +80,7 @@
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             target: TargetId::default(),
             tried: avoid,
+            hold_ms: 0,
             hops: 0,
             full: false,
             suspect: self.quarantine.is_suspect(digest),
--- a/crates/decision/src/node/place.rs
+++ b/crates/decision/src/node/place.rs
@@ -3,6 +3,7 @@
 use super::pool::Pool;
 use super::{Command, Node};
 use crate::chats::Place;
+use crate::document::Limits;
 use crate::id::{ChatId, InstanceId, ServiceId, TargetId, Time};
 use crate::message::{Ask, DenyCode, Grant, Hold, Message, Release};
 use crate::queue::Waiting;
@@ -13,8 +14,12 @@
 const HOPS: u8 = 6;
 /// Queued asks of one target that are placed elsewhere in one tick.
 const MOVES_A_TICK: usize = 4;
-/// Requests by which a second choice must be ahead of the first.
-const TWO_CHOICES_LEAD: u32 = 2;
+/// First choices of a new chat that are compared by load.
+const CHOICES: usize = 4;
+/// Requests by which another choice must be ahead of the first.
+const CHOICES_LEAD: u32 = 2;
+/// Time after which an ask is placed again that a queue could not serve.
+const MOVE_AGAIN: Duration = Duration::from_millis(500);
 /// Queues in which an ask waits in turn within its longest wait.
 const QUEUES_A_WAIT: u32 = 4;
 
@@ -43,11 +48,36 @@
             }
             match self.try_grant(now, &ask, &target, 0, out) {
                 Ok(()) => return,
+                Err(Denial::Full | Denial::Bound) if self.is_worth_holding(&ask, &target) => {
+                    return self.hold(now, ask, target, out);
+                }
                 Err(_) => ask.tried.push(target),
             }
+            ask.hold_ms = 0;
         }
     }
 
+    /// Whether a slot of the target that caches the chat is likely to be free
+    /// before the cache is worth less than the wait.
+    fn is_worth_holding(&self, ask: &Ask, target: &TargetId) -> bool {
+        let pool = &self.pools[&ask.service];
+        let limits = &pool.versioned.document.limits;
+        let ahead = pool.queues.get(target).map_or(0, crate::Queue::len);
+        let hold = Duration::from_millis(u64::from(ask.hold_ms));
+        let wait = pool
+            .slots
+            .get(target)
+            .map(|s| s.wait_estimate(ahead, limits));
+        ask.hold_ms > 0 && wait.is_some_and(|wait| wait <= hold)
+    }
+
+    /// Lets an ask wait a short while for the target that caches its chat.
+    fn hold(&mut self, now: Time, mut ask: Ask, target: TargetId, out: &mut Vec<Command>) {
+        let hold = Duration::from_millis(u64::from(std::mem::take(&mut ask.hold_ms)));
+        self.counters.held_back += 1;
+        self.push(now, &target, ask, now + hold, out);
+    }
+
     fn pass_on(&mut self, to: InstanceId, target: TargetId, mut ask: Ask, out: &mut Vec<Command>) {
         ask.hops += 1;
         ask.target = target;
@@ -75,6 +105,12 @@
             return Some(wanted);
         }
         let places = self.chats.places(ask.chat);
+        if let Some(place) = places.first().filter(|_| ask.tried.is_empty()) {
+            ask.hold_ms = hold_ms(&pool.versioned.document.limits, place);
+            if ask.hold_ms > 0 && self.is_candidate(pool, &place.target, ask) {
+                return Some(place.target.clone());
+            }
+        }
         let cached = places
             .iter()
             .map(|p| p.target.as_str())
@@ -209,10 +245,20 @@
         if takes_work && is_first && self.try_grant(now, &ask, &target, 1, out).is_ok() {
             return;
         }
-        self.push(now, &target, ask, out);
+        let limits = &self.pools[&ask.service].versioned.document.limits;
+        let moves = now + limits.queue_time / QUEUES_A_WAIT;
+        self.push(now, &target, ask, moves, out);
     }
 
-    fn push(&mut self, now: Time, target: &TargetId, ask: Ask, out: &mut Vec<Command>) {
+    /// Queues an ask; at `moves` it is placed elsewhere.
+    fn push(
+        &mut self,
+        now: Time,
+        target: &TargetId,
+        ask: Ask,
+        moves: Time,
+        out: &mut Vec<Command>,
+    ) {
         let pool = self.pools.get_mut(&ask.service).expect("pool");
         let document = &pool.versioned.document;
         let limits = &document.limits;
@@ -221,7 +267,7 @@
         let share = document.workspace(&ask.workspace).map_or(1, |w| w.share);
         let entry = ask.entry.clone();
         let id = ask.id;
-        let dropped = queue.push(ask, (now, now + wait), share, limits.queue);
+        let dropped = queue.push(ask, (moves, now + wait), share, limits.queue);
         if let Some(dropped) = &dropped {
             self.counters.shed += 1;
             self.deny(dropped, DenyCode::Overloaded, out);
@@ -250,7 +296,8 @@
             let pool = self.pools.get_mut(service).expect("pool");
             pool.queues.get_mut(target).and_then(crate::Queue::pop);
             if self.try_grant(now, &ask, target, 0, out).is_err() {
-                return self.push(now, target, ask, out);
+                let moves = now + MOVE_AGAIN;
+                return self.push(now, target, ask, moves, out);
             }
         }
     }
@@ -276,13 +323,14 @@
                     break;
                 }
             }
-            self.move_stale(now, service, &target, out);
+            self.move_late(now, service, &target, out);
         }
     }
 
-    /// Sends asks that have waited for long to the queue of their next choice,
-    /// because a target whose requests are long hardly serves its queue.
-    fn move_stale(
+    /// Places asks that were held back elsewhere, and sends those that have
+    /// waited for long to the queue of their next choice, because a target
+    /// whose requests are long hardly serves its queue.
+    fn move_late(
         &mut self,
         now: Time,
         service: &ServiceId,
@@ -290,14 +338,17 @@
         out: &mut Vec<Command>,
     ) {
         let pool = self.pools.get_mut(service).expect("pool");
-        let patience = pool.versioned.document.limits.queue_time / QUEUES_A_WAIT;
-        let Some(since) = now.checked_sub(patience) else {
-            return;
-        };
         let queue = pool.queues.get_mut(target);
-        let stale = queue.map(|q| q.take_older(since)).unwrap_or_default();
-        for waiting in stale {
+        let moving = queue.map(|q| q.take_moving(now)).unwrap_or_default();
+        for waiting in moving {
             let mut ask = remaining(now, waiting);
+            if !ask.full {
+                // Held back for the chat's cache: any other target will do now.
+                ask.tried.push(target.clone());
+                ask.hops = 0;
+                self.place(now, ask, out);
+                continue;
+            }
             let pool = &self.pools[service];
             let ranking = pool.ranking(ask.chat);
             let at = ranking.iter().position(|t| t == target).unwrap_or(0);
@@ -326,7 +377,9 @@
         target: &TargetId,
         out: &mut Vec<Command>,
     ) -> bool {
-        let Some(ask) = self.next_waiting(service, target) else {
+        // An ask that is held back for its chat's cache stays for its time.
+        let next = self.next_waiting(service, target);
+        let Some(ask) = next.filter(|ask| ask.full) else {
             return false;
         };
         let pool = &self.pools[service];
@@ -429,6 +482,12 @@
     }
 }
 
+/// Milliseconds for which it is worth waiting for a chat's cache.
+fn hold_ms(limits: &Limits, place: &Place) -> u16 {
+    let saved = limits.token_time * place.tokens;
+    u16::try_from(saved.min(limits.hold_time).as_millis()).unwrap_or(u16::MAX)
+}
+
 /// An ask out of a queue, with what is left of its wait.
 fn remaining(now: Time, waiting: Waiting) -> Ask {
     let left = waiting.expires.saturating_sub(now).as_millis();
@@ -455,18 +514,21 @@
     load >= cap.min(pool.loads.bound(cap, limits.multiple))
 }
 
-/// The less used of a new chat's first two choices (Mitzenmacher, "The Power
-/// of Two Choices in Randomized Load Balancing", 2001).
+/// The least used of a new chat's first choices (Mitzenmacher, "The Power of
+/// Two Choices in Randomized Load Balancing", 2001).
 fn less_used<'a>(pool: &Pool, first: &'a str, ranked: &[&'a str]) -> &'a str {
-    let second = ranked.iter().find(|t| **t != first);
-    let Some(second) = second else { return first };
-    let (load, cap) = pool.loads.get(first).unwrap_or_default();
-    let (other_load, other_cap) = pool.loads.get(second).unwrap_or_default();
+    let load = |target: &str| pool.loads.get(target).filter(|l| l.1 > 0);
+    let share = |(load, cap): (u32, u32)| f64::from(load) / f64::from(cap);
+    let Some((first_load, first_cap)) = load(first) else {
+        return first;
+    };
+    let others = ranked.iter().filter(|t| **t != first).take(CHOICES - 1);
+    let known = others.filter_map(|t| load(t).map(|l| (share(l), *t)));
+    let least = known.min_by(|a, b| a.0.total_cmp(&b.0));
     // A lead of one request may be no more than a release that is on its way.
-    let is_less = (other_load + TWO_CHOICES_LEAD) * cap <= load * other_cap;
-    if other_cap > 0 && is_less {
-        second
-    } else {
-        first
+    let lead = f64::from(CHOICES_LEAD) / f64::from(first_cap);
+    match least {
+        Some((other, target)) if other + lead <= share((first_load, first_cap)) => target,
+        _ => first,
     }
 }
--- a/crates/decision/src/queue.rs
+++ b/crates/decision/src/queue.rs
@@ -14,8 +14,8 @@
     pub ask: Ask,
     /// Time at which it is refused.
     pub expires: Time,
-    /// Time since which it has waited here.
-    pub since: Time,
+    /// Time at which it is placed elsewhere.
+    pub moves: Time,
     start: u64,
     finish: u64,
 }
@@ -45,12 +45,12 @@
         self.items.is_empty()
     }
 
-    /// Adds an ask at `now`, to wait until `expires`; returns the one that the
-    /// full queue pushed out, if any.
+    /// Adds an ask that is placed elsewhere at `moves` and refused at `expires`;
+    /// returns the one that the full queue pushed out, if any.
     pub fn push(
         &mut self,
         ask: Ask,
-        (now, expires): (Time, Time),
+        (moves, expires): (Time, Time),
         share: u32,
         limit: usize,
     ) -> Option<Ask> {
@@ -63,7 +63,7 @@
         let waiting = Waiting {
             ask,
             expires,
-            since: now,
+            moves,
             start,
             finish,
         };
@@ -98,9 +98,9 @@
         expired.into_iter().map(|w| w.ask).collect()
     }
 
-    /// Takes every ask that has waited here since `since` or longer.
-    pub fn take_older(&mut self, since: Time) -> Vec<Waiting> {
-        self.remove(|w| w.since <= since)
+    /// Takes every ask that is now to be placed elsewhere.
+    pub fn take_moving(&mut self, now: Time) -> Vec<Waiting> {
+        self.remove(|w| w.moves <= now)
     }
 
     /// Takes out the ask of an entry, because its caller has gone.
--- a/crates/decision/src/slots.rs
+++ b/crates/decision/src/slots.rs
@@ -144,10 +144,10 @@
         self.report.map(|r| r.1)
     }
 
-    /// Estimated time until a slot is free for the last of `ahead` waiting.
-    pub fn wait_estimate(&self, ahead: usize, limits: &Limits) -> Duration {
+    /// Estimated time until slots are free for so many that wait.
+    pub fn wait_estimate(&self, waiting: usize, limits: &Limits) -> Duration {
         let cap = f64::from(self.cap(limits).max(1));
-        Duration::from_secs_f64(self.service_time * (ahead as f64 + 1.0) / cap)
+        Duration::from_secs_f64(self.service_time * waiting as f64 / cap)
     }
 
     /// Grants a slot below `bound`, the highest load by the pool's mean.
