--- a/crates/bench/src/client.rs
+++ b/crates/bench/src/client.rs
@@ -155,6 +155,9 @@
             }
             got.read_line(line.trim_ascii_end(), begun, &mut last);
             line.clear();
+            if got.whole {
+                return got;
+            }
         }
         if got.status != 200 {
             got.read_refusal(&line);
--- /dev/null
+++ b/crates/bench/src/fleet/faults.rs
@@ -0,0 +1,311 @@
+//! Faults, the cells of the fault table, and the invariants of the brief.
+
+use super::load::{Load, Outcome};
+use super::report::Cell;
+use super::{Deployment, SLOTS};
+use crate::client::Caller;
+use crate::kit;
+use crate::standin::{EngineFaults, PlatformFaults};
+use decision::MarkKey;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after an order from which a domain gets no new work.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// A fault that a cell of the table causes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fault {
+    EngineCrash,
+    EngineFlap,
+    EngineCold,
+    InstanceKilled,
+    InstancePaused,
+    InstanceReplaced,
+    StoreDown,
+    StoreSlow,
+    StoreLossy,
+    DomainOut,
+    SilentStreams,
+    Poison,
+    Surge,
+    RacingOperators,
+}
+
+/// What has to be undone at the end of a cell.
+#[derive(Default)]
+struct Undo {
+    paused: Option<usize>,
+    killed: Vec<usize>,
+    out_at: Vec<u64>,
+    in_at: Vec<u64>,
+}
+
+impl Fault {
+    pub(super) const ALL: [Fault; 14] = [
+        Fault::EngineCrash,
+        Fault::EngineFlap,
+        Fault::EngineCold,
+        Fault::InstanceKilled,
+        Fault::InstancePaused,
+        Fault::InstanceReplaced,
+        Fault::StoreDown,
+        Fault::StoreSlow,
+        Fault::StoreLossy,
+        Fault::DomainOut,
+        Fault::SilentStreams,
+        Fault::Poison,
+        Fault::Surge,
+        Fault::RacingOperators,
+    ];
+
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Fault::EngineCrash => "engine-crash",
+            Fault::EngineFlap => "engine-flap",
+            Fault::EngineCold => "engine-cold",
+            Fault::InstanceKilled => "instance-killed",
+            Fault::InstancePaused => "instance-paused",
+            Fault::InstanceReplaced => "instance-replaced",
+            Fault::StoreDown => "store-down",
+            Fault::StoreSlow => "store-slow",
+            Fault::StoreLossy => "store-lossy",
+            Fault::DomainOut => "domain-out",
+            Fault::SilentStreams => "silent-streams",
+            Fault::Poison => "poison",
+            Fault::Surge => "surge",
+            Fault::RacingOperators => "racing-operators",
+        }
+    }
+
+    fn begin(self, deployment: &mut Deployment, undo: &mut Undo) {
+        let engines = &deployment.engines;
+        match self {
+            Fault::EngineCrash | Fault::EngineFlap => engines[1].crash(true),
+            Fault::EngineCold => engines[2].turn_cold(),
+            Fault::InstanceKilled => {
+                deployment.processes[4].kill();
+                undo.killed.push(4);
+            }
+            Fault::InstancePaused => {
+                deployment.processes[5].signal("STOP");
+                undo.paused = Some(5);
+            }
+            Fault::InstanceReplaced => {
+                deployment.processes[6].kill();
+                deployment.processes[6].start();
+            }
+            Fault::StoreDown => deployment.platform.set_faults(PlatformFaults {
+                down: true,
+                ..PlatformFaults::default()
+            }),
+            Fault::StoreSlow => deployment.platform.set_faults(PlatformFaults {
+                slow_ms: 700,
+                ..PlatformFaults::default()
+            }),
+            Fault::StoreLossy => deployment.platform.set_faults(PlatformFaults {
+                lose_every: 3,
+                ..PlatformFaults::default()
+            }),
+            Fault::DomainOut => {
+                let key = MarkKey::Domain(deployment.domains[0].into());
+                let _ = deployment.processes[1].client().order(&key, true);
+                undo.out_at = engines
+                    .iter()
+                    .map(crate::standin::Engine::elapsed_ms)
+                    .collect();
+            }
+            Fault::SilentStreams => {
+                for engine in engines {
+                    engine.set_faults(EngineFaults {
+                        silent: 3,
+                        silent_after: 6,
+                        ..EngineFaults::default()
+                    });
+                }
+            }
+            Fault::Poison => poison(deployment),
+            Fault::Surge => {}
+            Fault::RacingOperators => race(deployment),
+        }
+    }
+
+    /// Half-way through the cell.
+    fn middle(self, deployment: &mut Deployment, undo: &mut Undo) {
+        match self {
+            Fault::EngineFlap => deployment.engines[1].crash(true),
+            Fault::StoreDown | Fault::StoreSlow | Fault::StoreLossy => {
+                deployment.platform.set_faults(PlatformFaults::default());
+            }
+            Fault::DomainOut => {
+                let engines = deployment.engines.iter();
+                undo.in_at = engines.map(crate::standin::Engine::elapsed_ms).collect();
+                let key = MarkKey::Domain(deployment.domains[0].into());
+                let _ = deployment.processes[2].client().order(&key, false);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Sends a request that crashes engines, several times.
+fn poison(deployment: &Deployment) {
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults {
+            crash_on: Some("crash the engine".to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+    let addresses = deployment.addresses();
+    std::thread::spawn(move || {
+        let caller = Caller::new(&kit::key("w4")).with_timeout(Duration::from_secs(10));
+        let messages = json!([{ "role": "user", "content": "crash the engine" }]);
+        for address in addresses.iter().cycle().take(10) {
+            caller.chat(*address, "assistant", "poison", &messages);
+        }
+    });
+}
+
+/// Two operators change the same document at the same time.
+fn race(deployment: &Deployment) {
+    for process in deployment.processes.iter().take(2) {
+        let client = process.client();
+        std::thread::spawn(move || {
+            if let Ok(mut found) = client.document("assistant", None) {
+                found.document.limits.queue += 1;
+                let _ = client.apply(&found.document, found.version, false);
+            }
+        });
+    }
+}
+
+/// Runs one cell: load, the faults a third of the way in, and the end.
+pub(super) fn run_cell(
+    deployment: &mut Deployment,
+    load: &Arc<Load>,
+    faults: &[Fault],
+    rate: f64,
+    time: Duration,
+    seed: u64,
+) -> Cell {
+    let names: Vec<&str> = faults.iter().map(|f| f.name()).collect();
+    let crashes = crash_count(deployment);
+    let rate = if faults.contains(&Fault::Surge) {
+        rate * 2.0
+    } else {
+        rate
+    };
+    let running = {
+        let load = load.clone();
+        std::thread::spawn(move || load.run(rate, time, seed))
+    };
+    let mut undo = Undo::default();
+    std::thread::sleep(time / 4);
+    for fault in faults {
+        fault.begin(deployment, &mut undo);
+    }
+    std::thread::sleep(time / 3);
+    for fault in faults {
+        fault.middle(deployment, &mut undo);
+    }
+    if let Some(i) = undo.paused {
+        // The pause is as long as the brief's leases, whatever the cell's time.
+        std::thread::sleep(Duration::from_secs(15).saturating_sub(time / 3));
+        deployment.processes[i].signal("CONT");
+    }
+    let outcomes = running.join().unwrap_or_default();
+    let mut cell = Cell::new(&names.join(" + "), &outcomes, time);
+    judge(deployment, &outcomes, &mut cell);
+    judge_domain(deployment, &undo, &mut cell);
+    let most = if faults.contains(&Fault::Poison) {
+        2
+    } else {
+        0
+    };
+    if faults == [Fault::Poison] && crash_count(deployment) - crashes > most {
+        cell.breaches.push(format!(
+            "a request crashed {} engines",
+            crash_count(deployment) - crashes
+        ));
+    }
+    for i in undo.killed {
+        deployment.processes[i].start();
+    }
+    deployment.platform.set_faults(PlatformFaults::default());
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults::default());
+    }
+    for process in &mut deployment.processes {
+        if !process.is_running() {
+            cell.breaches
+                .push(format!("{} has ended", process.listing.id));
+            process.start();
+        }
+    }
+    // Lets the fleet settle before the next cell.
+    std::thread::sleep(Duration::from_secs(5));
+    for engine in &deployment.engines {
+        engine.warm_up();
+    }
+    cell
+}
+
+fn crash_count(deployment: &Deployment) -> u64 {
+    deployment.engines.iter().map(|e| e.records().crashes).sum()
+}
+
+/// Checks the invariants by the stand-ins' records.
+pub(super) fn judge(deployment: &Deployment, outcomes: &[Outcome], cell: &mut Cell) {
+    let records: Vec<_> = deployment
+        .services
+        .iter()
+        .map(crate::standin::Service::records)
+        .collect();
+    let runs = |body: &str| -> u32 { records.iter().filter_map(|r| r.runs.get(body)).sum() };
+    for outcome in outcomes {
+        if outcome.is_wrong {
+            cell.breaches
+                .push("an answer told whole is not right".to_owned());
+        }
+        let Some((body, told_not_run)) = &outcome.order else {
+            continue;
+        };
+        match runs(body) {
+            n if n > 1 => cell.breaches.push(format!("{body} ran {n} times")),
+            n if n > 0 && *told_not_run => {
+                cell.breaches
+                    .push(format!("{body} ran, but was told not run"));
+            }
+            0 if outcome.is_done => cell.breaches.push(format!("{body} was told done")),
+            _ => {}
+        }
+    }
+    for (i, engine) in deployment.engines.iter().enumerate() {
+        let held = engine.records().held_peak;
+        if held > SLOTS as usize {
+            cell.over_slots = cell.over_slots.max(held - SLOTS as usize);
+            let _ = i;
+        }
+    }
+}
+
+/// A domain that is out gets no new work after a few seconds.
+fn judge_domain(deployment: &Deployment, undo: &Undo, cell: &mut Cell) {
+    let drain = DRAIN_TIME.as_millis() as u64;
+    for (i, (out, back)) in undo.out_at.iter().zip(&undo.in_at).enumerate() {
+        if !i.is_multiple_of(deployment.domains.len()) {
+            continue;
+        }
+        let runs = deployment.engines[i].records().runs;
+        let late = runs
+            .iter()
+            .filter(|r| r.at_ms > out + drain && r.at_ms < *back);
+        let late = late.count();
+        if late > 0 {
+            cell.breaches.push(format!(
+                "{late} requests to engine {i}, whose domain is out"
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/fleet/load.rs
@@ -0,0 +1,252 @@
+//! Open-loop load: arrivals do not wait for answers.
+
+use crate::client::{Caller, Got};
+use crate::kit;
+use crate::standin::word;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time for which a caller keeps a lookup.
+const LOOKUP_LIFE: Duration = Duration::from_secs(2);
+/// Sends of one request, at the most.
+const SENDS: usize = 4;
+/// Most requests at once.
+const AT_ONCE: usize = 600;
+/// Tokens of an answer.
+pub(super) const ANSWER_TOKENS: u64 = 24;
+/// One in so many arrivals is an order.
+const ORDER_EVERY: u64 = 10;
+/// Most characters that a turn adds to a chat.
+const TURN_CHARS: usize = 900;
+/// Turns after which a chat ends.
+const TURNS: usize = 8;
+
+/// One returning chat.
+#[derive(Clone, Debug)]
+struct Chat {
+    name: String,
+    workspace: &'static str,
+    messages: Vec<Value>,
+}
+
+/// What a request came to.
+#[derive(Clone, Debug)]
+pub(super) struct Outcome {
+    /// When it was due, from the start of the load.
+    pub(super) at: Duration,
+    /// Whether it was completed, whole and right.
+    pub(super) is_done: bool,
+    /// Whether the text differed from what the engine says.
+    pub(super) is_wrong: bool,
+    /// Time from when it was due to the first event.
+    pub(super) first: Duration,
+    /// Longest gap between two events.
+    pub(super) gap: Duration,
+    /// Order's body, and whether a refusal said that it did not run.
+    pub(super) order: Option<(String, bool)>,
+    /// Code of the last refusal.
+    pub(super) code: String,
+}
+
+/// Load on a fleet.
+pub(super) struct Load {
+    addresses: Vec<SocketAddr>,
+    lookups: Mutex<BTreeMap<String, (Instant, Vec<SocketAddr>)>>,
+    idle: Mutex<Vec<Chat>>,
+    outcomes: Mutex<Vec<Outcome>>,
+    busy: AtomicUsize,
+    next: AtomicUsize,
+}
+
+/// Workspaces of the load.
+pub(super) const WORKSPACES: [&str; 10] =
+    ["w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8", "w9"];
+
+impl Load {
+    pub(super) fn new(addresses: Vec<SocketAddr>) -> Arc<Load> {
+        Arc::new(Load {
+            addresses,
+            lookups: Mutex::new(BTreeMap::new()),
+            idle: Mutex::new(Vec::new()),
+            outcomes: Mutex::new(Vec::new()),
+            busy: AtomicUsize::new(0),
+            next: AtomicUsize::new(0),
+        })
+    }
+
+    /// Sends `rate` requests a second for a time; waits for the last answer.
+    pub(super) fn run(self: &Arc<Load>, rate: f64, time: Duration, seed: u64) -> Vec<Outcome> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let begun = Instant::now();
+        let mut due = Duration::ZERO;
+        let mut count = 0;
+        while due < time {
+            let unit: f64 = rng.random();
+            due += Duration::from_secs_f64(-(1.0 - unit).ln() / rate);
+            std::thread::sleep(due.saturating_sub(begun.elapsed()));
+            count += 1;
+            if self.busy.load(Ordering::Relaxed) >= AT_ONCE {
+                self.fail(due, "too many requests at once in the load tool");
+                continue;
+            }
+            let load = self.clone();
+            let job = if count % ORDER_EVERY == 0 {
+                Job::Order(format!("{seed}-{count}"))
+            } else {
+                Job::Chat(self.pick(&mut rng, seed, count))
+            };
+            self.busy.fetch_add(1, Ordering::Relaxed);
+            std::thread::spawn(move || {
+                let started = begun + due;
+                let outcome = match job {
+                    Job::Order(key) => load.order(due, &key),
+                    Job::Chat(chat) => load.turn(due, started, chat),
+                };
+                load.outcomes.lock().expect("outcomes").push(outcome);
+                load.busy.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+        while self.busy.load(Ordering::Relaxed) > 0 && begun.elapsed() < time * 4 {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        std::mem::take(&mut *self.outcomes.lock().expect("outcomes"))
+    }
+
+    fn fail(&self, at: Duration, code: &str) {
+        self.outcomes.lock().expect("outcomes").push(Outcome {
+            at,
+            is_done: false,
+            is_wrong: false,
+            first: Duration::ZERO,
+            gap: Duration::ZERO,
+            order: None,
+            code: code.to_owned(),
+        });
+    }
+
+    /// An idle chat that returns, or a new one.
+    fn pick(&self, rng: &mut ChaCha8Rng, seed: u64, count: u64) -> Chat {
+        let mut idle = self.idle.lock().expect("chats");
+        if !idle.is_empty() && rng.random_bool(0.8) {
+            let at = rng.random_range(0..idle.len());
+            return idle.swap_remove(at);
+        }
+        // Three large workspaces bring most of the chats.
+        let large = rng.random_bool(0.66);
+        let workspace = if large {
+            WORKSPACES[rng.random_range(0..3)]
+        } else {
+            WORKSPACES[rng.random_range(3..WORKSPACES.len())]
+        };
+        Chat {
+            name: format!("chat-{seed}-{count}"),
+            workspace,
+            messages: Vec::new(),
+        }
+    }
+
+    /// Instances for a chat, from a lookup that is not too old.
+    fn locate(&self, caller: &Caller, chat: &str) -> Vec<SocketAddr> {
+        let known = self.lookups.lock().expect("lookups").get(chat).cloned();
+        if let Some((at, found)) = known
+            && at.elapsed() < LOOKUP_LIFE
+        {
+            return found;
+        }
+        let count = self.addresses.len();
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        let quick = caller.clone().with_timeout(Duration::from_secs(1));
+        for i in 0..count.min(5) {
+            let at = self.addresses[(first + i) % count];
+            let found = quick.locate(at, "assistant", chat);
+            if !found.is_empty() {
+                let mut lookups = self.lookups.lock().expect("lookups");
+                lookups.insert(chat.to_owned(), (Instant::now(), found.clone()));
+                return found;
+            }
+        }
+        self.addresses.clone()
+    }
+
+    fn turn(&self, at: Duration, started: Instant, mut chat: Chat) -> Outcome {
+        let caller = Caller::new(&kit::key(chat.workspace)).with_timeout(Duration::from_secs(30));
+        let text = format!("turn {} of {} ", chat.messages.len(), chat.name);
+        let text = text.repeat(TURN_CHARS / text.len());
+        chat.messages
+            .push(json!({ "role": "user", "content": text }));
+        let messages = Value::Array(chat.messages.clone());
+        let mut got = Got::default();
+        let mut begun = Instant::now();
+        for send in 0..SENDS {
+            let addresses = self.locate(&caller, &chat.name);
+            begun = Instant::now();
+            got = caller.chat(
+                addresses[send % addresses.len()],
+                "assistant",
+                &chat.name,
+                &messages,
+            );
+            if got.whole {
+                break;
+            }
+            self.lookups.lock().expect("lookups").remove(&chat.name);
+            std::thread::sleep(Duration::from_millis(100 << send));
+        }
+        let seed = decision::digest("", messages.to_string().as_bytes());
+        let right: String = (0..ANSWER_TOKENS).map(|i| word(seed, i)).collect();
+        let is_right = got.text == right;
+        let outcome = Outcome {
+            at,
+            is_done: got.whole && is_right,
+            is_wrong: got.whole && !is_right,
+            first: begun - started + got.first.unwrap_or_default(),
+            gap: got.gap,
+            order: None,
+            code: got.code,
+        };
+        chat.messages
+            .push(json!({ "role": "assistant", "content": got.text }));
+        if outcome.is_done && chat.messages.len() < 2 * TURNS {
+            self.idle.lock().expect("chats").push(chat);
+        }
+        outcome
+    }
+
+    /// Places an order under a key of its own, again where the answer is not whole.
+    fn order(&self, at: Duration, key: &str) -> Outcome {
+        let caller = Caller::new(&kit::key("w1")).with_timeout(Duration::from_secs(8));
+        let body = json!({ "order": key }).to_string();
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        let begun = Instant::now();
+        let mut got = Got::default();
+        for send in 0..SENDS {
+            let address = self.addresses[(first + send) % self.addresses.len()];
+            got = caller.call(address, "orders/place", Some(key), &body);
+            if got.status == 200 {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(200 << send));
+        }
+        let is_done = got.status == 200;
+        Outcome {
+            at,
+            is_done,
+            is_wrong: false,
+            first: begun.elapsed(),
+            gap: Duration::ZERO,
+            order: Some((body, !is_done && got.run == "not run")),
+            code: got.code,
+        }
+    }
+}
+
+enum Job {
+    Order(String),
+    Chat(Chat),
+}
--- /dev/null
+++ b/crates/bench/src/fleet/mod.rs
@@ -0,0 +1,354 @@
+//! `bench fleet`: the built binary as real processes, under load and faults.
+//!
+//! The invariants are judged by the stand-ins' own records. Everything that is
+//! started here is ended by its id, and every run is bounded in time.
+
+mod faults;
+mod load;
+mod process;
+mod report;
+
+use crate::client::Caller;
+use crate::kit;
+use crate::standin::{Engine, EngineOptions, PlatformStandIn, Service};
+use bpaf::Bpaf;
+use decision::{Kind, Limits};
+use faults::Fault;
+use load::{ANSWER_TOKENS, Load, Outcome, WORKSPACES};
+use process::Process;
+use report::{Cell, Measures};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// Options of `bench fleet`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct FleetOptions {
+    /// Built binary
+    #[bpaf(
+        long,
+        argument("FILE"),
+        fallback(PathBuf::from("target/release/briargap")),
+        debug_fallback
+    )]
+    binary: PathBuf,
+    /// Deployment: hoepelgilde or great-lakes
+    #[bpaf(long, argument("NAME"), fallback("hoepelgilde".to_owned()), display_fallback)]
+    deployment: String,
+    /// Requests a second
+    #[bpaf(long, argument("RATE"), fallback(60.0), display_fallback)]
+    rate: f64,
+    /// Seconds of each run
+    #[bpaf(long, argument("SECONDS"), fallback(15), display_fallback)]
+    seconds: u64,
+    /// Run the faults, each alone
+    #[bpaf(long)]
+    faults: bool,
+    /// Run every pair of faults too
+    #[bpaf(long)]
+    pairs: bool,
+    /// Faults to run, by name, separated by commas
+    #[bpaf(long, argument("NAMES"))]
+    only: Option<String>,
+    /// Write a Markdown report to this file
+    #[bpaf(long, argument("FILE"))]
+    report: Option<PathBuf>,
+}
+
+/// Slots of an engine.
+const SLOTS: u32 = 16;
+/// Time in which the fleet must be ready.
+const READY: Duration = Duration::from_secs(30);
+
+/// Processes and stand-ins of one deployment.
+struct Deployment {
+    platform: PlatformStandIn,
+    engines: Vec<Engine>,
+    services: Vec<Service>,
+    processes: Vec<Process>,
+    domains: [&'static str; 3],
+    _folder: Folder,
+}
+
+/// A folder that is removed at the end.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+impl Deployment {
+    fn start(options: &FleetOptions) -> Result<Deployment, String> {
+        let (instances, engines, domains) = match options.deployment.as_str() {
+            "hoepelgilde" => (13, 12, ["nl-west-1", "nl-west-2", "nl-west-3"]),
+            "great-lakes" => (18, 18, ["huron-shore", "erie-shore", "superior-shore"]),
+            other => return Err(format!("there is no deployment {other:?}")),
+        };
+        let platform = PlatformStandIn::start();
+        let engine = EngineOptions {
+            slots: SLOTS as usize,
+            token_time: Duration::from_millis(20),
+            answer_tokens: ANSWER_TOKENS as usize,
+            ..EngineOptions::default()
+        };
+        let engines: Vec<Engine> = (0..engines)
+            .map(|_| Engine::start(engine.clone()))
+            .collect();
+        for engine in &engines {
+            engine.warm_up();
+        }
+        let services: Vec<Service> = (0..3).map(|_| Service::start()).collect();
+        let name = format!("briargap-fleet-{}", std::process::id());
+        let folder = Folder(std::env::temp_dir().join(name));
+        std::fs::create_dir_all(&folder.0).map_err(|e| e.to_string())?;
+        let processes = (0..instances).map(|i| {
+            let domain = domains[i % domains.len()];
+            let name = format!("{domain}-{i}");
+            Process::new(&options.binary, &folder.0, &name, domain, &platform.base())
+        });
+        let mut deployment = Deployment {
+            processes: processes.collect(),
+            platform,
+            engines,
+            services,
+            domains,
+            _folder: folder,
+        };
+        for process in &mut deployment.processes {
+            process.start();
+        }
+        deployment.apply_documents()?;
+        Ok(deployment)
+    }
+
+    fn apply_documents(&mut self) -> Result<(), String> {
+        let count = self.processes.len();
+        self.wait("every instance to see the others", |d| {
+            d.processes.iter().all(|p| {
+                let members = p.state()["node"]["members"].clone();
+                let members = members.as_object().cloned().unwrap_or_default();
+                members.values().filter(|m| m["status"] == "a").count() == count
+            })
+        })?;
+        let workspaces: Vec<_> = WORKSPACES.iter().map(|w| kit::workspace(w, 1)).collect();
+        let limits = Limits {
+            slots: SLOTS,
+            first_time: Duration::from_secs(5),
+            ..Limits::default()
+        };
+        let engines: Vec<SocketAddr> = self.engines.iter().map(Engine::address).collect();
+        let services: Vec<SocketAddr> = self.services.iter().map(Service::address).collect();
+        let mut documents = vec![
+            kit::document(
+                "assistant",
+                Kind::Engine,
+                limits.clone(),
+                &engines,
+                workspaces.clone(),
+            ),
+            kit::document("orders", Kind::Plain, limits, &services, workspaces),
+        ];
+        for document in &mut documents {
+            for (i, target) in document.targets.iter_mut().enumerate() {
+                target.domain = self.domains[i % self.domains.len()].into();
+            }
+            let applied = self.processes[0].client().apply(document, 0, false);
+            applied.map_err(|e| e.to_string())?;
+        }
+        self.wait("the documents to be in force", |d| {
+            let mut processes = d.processes.iter();
+            processes.all(|p| p.client().services().is_ok_and(|s| s.len() == 2))
+        })?;
+        // Stewards are cautious at first.
+        std::thread::sleep(Duration::from_secs(4));
+        Ok(())
+    }
+
+    fn wait(&self, what: &str, holds: impl Fn(&Deployment) -> bool) -> Result<(), String> {
+        let begun = Instant::now();
+        while begun.elapsed() < READY {
+            if holds(self) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        Err(format!("waited too long for {what}"))
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.processes.iter().map(|p| p.listing.caller).collect()
+    }
+
+    fn cpu(&self) -> f64 {
+        self.processes.iter().map(|p| p.usage().cpu).sum()
+    }
+
+    /// Bytes sent over the mesh so far, by kind.
+    fn mesh_bytes(&self) -> BTreeMap<String, f64> {
+        let mut bytes = BTreeMap::new();
+        for process in &self.processes {
+            let state = process.state();
+            for (kind, row) in state["mesh"]["sent"].as_object().into_iter().flatten() {
+                *bytes.entry(kind.clone()).or_insert(0.0) += row[1].as_f64().unwrap_or(0.0);
+            }
+        }
+        bytes
+    }
+}
+
+/// Runs a deployment under load, and under faults where asked.
+pub fn run(options: &FleetOptions) -> ExitCode {
+    let mut deployment = match Deployment::start(options) {
+        Ok(deployment) => deployment,
+        Err(e) => {
+            eprintln!("start: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let time = Duration::from_secs(options.seconds);
+    let measures = measure(&mut deployment, options.rate, time);
+    report::print_measures(&options.deployment, &measures);
+    let mut cells = vec![measures.cell.clone()];
+    let load = Load::new(deployment.addresses());
+    for (i, faults) in chosen(options).into_iter().enumerate() {
+        let seed = 1_000 + i as u64;
+        let cell = faults::run_cell(&mut deployment, &load, &faults, options.rate, time, seed);
+        report::print_cell(&cell);
+        cells.push(cell);
+    }
+    if let Some(path) = &options.report
+        && let Err(e) = report::write(path, &options.deployment, &measures, &cells)
+    {
+        eprintln!("report: {e}");
+    }
+    if cells.iter().all(Cell::holds) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn chosen(options: &FleetOptions) -> Vec<Vec<Fault>> {
+    let wanted = options.only.as_deref();
+    let is_wanted = |f: &&Fault| wanted.is_none_or(|w| w.split(',').any(|n| n == f.name()));
+    let all: Vec<Fault> = Fault::ALL.iter().filter(is_wanted).copied().collect();
+    let mut cells = Vec::new();
+    if options.faults || wanted.is_some() {
+        cells.extend(all.iter().map(|f| vec![*f]));
+    }
+    if options.pairs {
+        for (i, one) in all.iter().enumerate() {
+            cells.extend(all[i + 1..].iter().map(|other| vec![*one, *other]));
+        }
+    }
+    cells
+}
+
+/// Measures the fleet without a fault.
+fn measure(deployment: &mut Deployment, rate: f64, time: Duration) -> Measures {
+    let load = Load::new(deployment.addresses());
+    // Fills the caches.
+    load.run(rate, time / 2, 1);
+    let runs_before: Vec<usize> = deployment
+        .engines
+        .iter()
+        .map(|e| e.records().runs.len())
+        .collect();
+    let (cpu, bytes) = (deployment.cpu(), deployment.mesh_bytes());
+    let begun = Instant::now();
+    let engines = deployment.engines.clone();
+    let watch = std::thread::spawn(move || watch_skew(&engines, time));
+    let outcomes = load.run(rate, time, 2);
+    let spent = begun.elapsed().as_secs_f64();
+    let nodes = deployment.processes.len() as f64;
+    let after = deployment.mesh_bytes();
+    let control = after.into_iter().map(|(kind, n)| {
+        let before = bytes.get(&kind).copied().unwrap_or(0.0);
+        (kind, (n - before) / spent / nodes)
+    });
+    let mut measures = Measures {
+        control: control.collect(),
+        cpu: 100.0 * (deployment.cpu() - cpu) / spent / nodes,
+        memory: deployment
+            .processes
+            .iter()
+            .map(|p| p.usage().memory)
+            .fold(0.0, f64::max),
+        skew: watch.join().unwrap_or(0.0),
+        reuse: reuse(&deployment.engines, &runs_before),
+        ..Measures::default()
+    };
+    // At rest: what control costs without requests.
+    std::thread::sleep(Duration::from_secs(2));
+    let (cpu, bytes) = (deployment.cpu(), deployment.mesh_bytes());
+    let begun = Instant::now();
+    std::thread::sleep(Duration::from_secs(8));
+    let spent = begun.elapsed().as_secs_f64();
+    measures.rest_cpu = 100.0 * (deployment.cpu() - cpu) / spent / nodes;
+    let sum = |bytes: &BTreeMap<String, f64>| bytes.values().sum::<f64>();
+    measures.rest_bytes = (sum(&deployment.mesh_bytes()) - sum(&bytes)) / spent / nodes;
+    measures.direct = direct(&deployment.engines);
+    measures.take_outcomes(&outcomes);
+    measures.cell = Cell::new("no fault", &outcomes, time);
+    measures.cell.least = report::LEAST_WITHOUT_FAULT;
+    faults::judge(deployment, &outcomes, &mut measures.cell);
+    measures
+}
+
+/// Highest load over the mean, on average over the samples.
+fn watch_skew(engines: &[Engine], time: Duration) -> f64 {
+    let begun = Instant::now();
+    let (mut sum, mut samples) = (0.0, 0u32);
+    while begun.elapsed() < time {
+        std::thread::sleep(Duration::from_millis(100));
+        let loads: Vec<usize> = engines.iter().map(Engine::load).collect();
+        let total: usize = loads.iter().sum();
+        if total > 0 {
+            let highest = loads.iter().copied().max().unwrap_or(0);
+            sum += highest as f64 * loads.len() as f64 / total as f64;
+            samples += 1;
+        }
+    }
+    sum / f64::from(samples.max(1))
+}
+
+/// Prompt tokens from a cache over all, since the given runs.
+fn reuse(engines: &[Engine], before: &[usize]) -> f64 {
+    let (mut prompt, mut cached) = (0, 0);
+    for (engine, before) in engines.iter().zip(before) {
+        for run in &engine.records().runs[*before..] {
+            prompt += run.prompt;
+            cached += run.cached;
+        }
+    }
+    cached as f64 / prompt.max(1) as f64
+}
+
+/// Time to the first token of an engine that is asked directly, at p50 and p95.
+fn direct(engines: &[Engine]) -> (f64, f64) {
+    let caller = Caller::new("none");
+    let mut times: Vec<Duration> = (0..60)
+        .filter_map(|i| {
+            let engine = &engines[i % engines.len()];
+            let body = serde_json::json!({
+                "prompt_cache_key": format!("direct-{i}"),
+                "messages": [{ "role": "user", "content": "short" }],
+            });
+            caller.chat_with(engine.address(), "direct", &body).first
+        })
+        .collect();
+    times.sort();
+    let at = |share: usize| times.get(times.len() * share / 100).copied();
+    let ms = |share| at(share).unwrap_or_default().as_secs_f64() * 1e3;
+    (ms(50), ms(95))
+}
+
+/// Share of outcomes that are done.
+fn done_share(outcomes: &[Outcome]) -> f64 {
+    let done = outcomes.iter().filter(|o| o.is_done).count();
+    done as f64 / outcomes.len().max(1) as f64
+}
--- /dev/null
+++ b/crates/bench/src/fleet/process.rs
@@ -0,0 +1,146 @@
+//! Instances as real processes on loopback.
+
+use crate::kit;
+use decision::Listing;
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// Clock ticks of the kernel a second, as processor time is counted.
+const TICKS_A_SECOND: f64 = 100.0;
+/// Bytes of a memory page.
+const PAGE: f64 = 4_096.0;
+
+/// One instance as a process.
+pub(super) struct Process {
+    pub(super) listing: Listing,
+    pub(super) operator: SocketAddr,
+    settings: PathBuf,
+    binary: PathBuf,
+    child: Option<Child>,
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Usage {
+    /// Processor time in seconds.
+    pub(super) cpu: f64,
+    /// Resident memory in MiB.
+    pub(super) memory: f64,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+impl Process {
+    /// Prepares an instance's settings on free ports.
+    pub(super) fn new(
+        binary: &Path,
+        folder: &Path,
+        name: &str,
+        domain: &str,
+        platform: &str,
+    ) -> Process {
+        let (caller, peer, operator) = (free_address(), free_address(), free_address());
+        let settings = json!({
+            "instance": name,
+            "domain": domain,
+            "caller": { "listen": caller, "lookup_ms": 2000 },
+            "peer": { "listen": peer },
+            "operator": { "listen": operator, "token_file": kit::token_file() },
+            "platform": { "address": platform, "poll_ms": 1000 },
+            "log": { "level": "warn" },
+        });
+        let path = folder.join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("settings");
+        Process {
+            listing: Listing {
+                id: name.into(),
+                domain: domain.into(),
+                caller,
+                peer,
+                leaving: false,
+            },
+            operator,
+            settings: path,
+            binary: binary.to_owned(),
+            child: None,
+        }
+    }
+
+    /// Starts the process.
+    pub(super) fn start(&mut self) {
+        let log = self.settings.with_extension("log");
+        let log = std::fs::File::options().create(true).append(true).open(log);
+        let child = Command::new(&self.binary)
+            .arg("serve")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.map_or_else(|_| Stdio::null(), Stdio::from))
+            .spawn();
+        self.child = Some(child.expect("the built binary"));
+    }
+
+    /// Whether the process runs.
+    pub(super) fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// Kills the process without a word.
+    pub(super) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal by name, as in `STOP`, to this process alone.
+    pub(super) fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill")
+                .arg(format!("-{name}"))
+                .arg(child.id().to_string())
+                .status();
+        }
+    }
+
+    /// Operators' client.
+    pub(super) fn client(&self) -> operator::Client {
+        operator::Client::new(&self.operator.to_string(), kit::TOKEN)
+    }
+
+    /// State dump.
+    pub(super) fn state(&self) -> Value {
+        self.client().state().unwrap_or_default()
+    }
+
+    /// Processor time and memory so far.
+    pub(super) fn usage(&self) -> Usage {
+        let Some(child) = &self.child else {
+            return Usage::default();
+        };
+        let read = |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", child.id()));
+        let stat = read("stat").unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+        let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok());
+        let cpu = ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0);
+        let statm = read("statm").unwrap_or_default();
+        let pages = statm.split(' ').nth(1).and_then(|p| p.parse::<f64>().ok());
+        Usage {
+            cpu: cpu / TICKS_A_SECOND,
+            memory: pages.unwrap_or(0.0) * PAGE / (1024.0 * 1024.0),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,7 +2,9 @@
 //! measure it. This package is for development only.
 
 pub mod client;
+pub mod fleet;
 pub mod kit;
 pub mod net;
 pub mod policy;
+pub mod slopes;
 pub mod standin;
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -12,7 +12,6 @@
 pub use run::{Figures, Placer};
 
 use bpaf::Bpaf;
-use choosers::MULTIPLE;
 use model::Workload;
 use run::Scenario;
 use serde::Serialize;
@@ -104,10 +103,10 @@
         check_surge(&scenario("surge"), &mut checks, &mut rows);
         check_overload(&scenario("overload"), &mut checks, &mut rows);
     }
-    if let Some(path) = &options.plot {
-        if let Err(e) = plot::draw(path, &rows) {
-            eprintln!("plot: {e}");
-        }
+    if let Some(path) = &options.plot
+        && let Err(e) = plot::draw(path, &rows)
+    {
+        eprintln!("plot: {e}");
     }
     let mut is_good = true;
     for check in &checks {
@@ -236,5 +235,4 @@
         scenario.name
     );
     checks.push(Check::least(&name, last / peak, 0.95));
-    let _ = MULTIPLE;
 }
--- a/crates/bench/src/policy/model.rs
+++ b/crates/bench/src/policy/model.rs
@@ -309,7 +309,7 @@
             active.cached = at.cached(active.request.chat).min(active.request.prompt);
             let uncached = (active.request.prompt - active.cached) as f64;
             let before = FIRST_TIME + PREFILL_TIME.mul_f64(uncached / 1_000.0);
-            active.first = now + before - active.request.at;
+            active.first = (now + before).saturating_sub(active.request.at);
             let decode = TOKEN_TIME * active.request.answer as u32;
             at.running.insert(id);
             let boot = at.boot;
--- /dev/null
+++ b/crates/bench/src/slopes.rs
@@ -0,0 +1,448 @@
+//! `bench slopes`: what each role costs at growing sizes, and at the target size.
+//!
+//! Every figure is taken at four sizes or more and fitted with a straight
+//! line by least squares; the report gives the slope, its standard error and
+//! what the line says at the size that `docs/CAPACITY.md` plans for.
+
+use crate::kit;
+use crate::net::{Faults, Net, listing};
+use bpaf::Bpaf;
+use decision::{
+    Chats, Command, Document, Event, Kind, Limits, MarkKey, Node, Place, Report, Settings, Time,
+    Versioned,
+};
+use serde::Serialize;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// Options of `bench slopes`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct SlopesOptions {
+    /// Measure fewer sizes
+    #[bpaf(long)]
+    quick: bool,
+}
+
+/// Instances at the size that is planned for.
+const INSTANCES: f64 = 370.0;
+/// Engines there.
+const ENGINES: f64 = 1_000.0;
+/// Chats that may return.
+const CHATS: f64 = 6_300_000.0;
+/// Services, one for each model.
+const MODELS: f64 = 22.0;
+
+/// A figure at several sizes, and the line through it.
+#[derive(Clone, Debug, Serialize)]
+struct Line {
+    role: &'static str,
+    figure: &'static str,
+    unit: &'static str,
+    size: &'static str,
+    points: Vec<(f64, f64)>,
+    intercept: f64,
+    slope: f64,
+    slope_error: f64,
+    planned_size: f64,
+    planned: f64,
+}
+
+impl Line {
+    fn fit(
+        (role, figure, unit): (&'static str, &'static str, &'static str),
+        size: &'static str,
+        planned_size: f64,
+        points: Vec<(f64, f64)>,
+    ) -> Line {
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
+        let square = |v: f64| v * v;
+        let spread: f64 = points.iter().map(|p| square(p.0 - mean_x)).sum();
+        let together: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
+        let slope = together / spread;
+        let intercept = mean_y - slope * mean_x;
+        let rest: f64 = points
+            .iter()
+            .map(|p| square(p.1 - intercept - slope * p.0))
+            .sum();
+        let slope_error = (rest / (n - 2.0).max(1.0) / spread).sqrt();
+        Line {
+            role,
+            figure,
+            unit,
+            size,
+            points,
+            intercept,
+            slope,
+            slope_error,
+            planned_size,
+            planned: intercept + slope * planned_size,
+        }
+    }
+}
+
+/// Measures every role and prints a JSON line for each figure.
+pub fn run(options: &SlopesOptions) -> ExitCode {
+    let fleets: &[usize] = if options.quick {
+        &[9, 18, 36, 72]
+    } else {
+        &[18, 45, 90, 180, 370]
+    };
+    let pools: &[usize] = &[12, 45, 120, 360, 1_000];
+    let chats: &[usize] = &[2_000, 5_000, 10_000, 17_000, 40_000];
+    // Memory first: the resident size grows only while nothing has been freed.
+    let mut lines = home(chats);
+    lines.extend(steward(&[1, 3, 6, 12]));
+    lines.extend(members(fleets));
+    lines.extend(spreading(fleets));
+    lines.push(entry(pools));
+    lines.push(documents(&[12, 45, 120, 360]));
+    for line in &lines {
+        println!("{}", serde_json::to_string(line).unwrap_or_default());
+        eprintln!(
+            "{:12} {:44} at {:>9} {:10} {:12.4} {}",
+            line.role, line.figure, line.planned_size, line.size, line.planned, line.unit
+        );
+    }
+    ExitCode::SUCCESS
+}
+
+/// Heartbeats and gossip of a fleet at rest: bytes, messages, processor time.
+fn members(fleets: &[usize]) -> Vec<Line> {
+    let mut bytes = Vec::new();
+    let mut busy = Vec::new();
+    let mut churn = Vec::new();
+    for size in fleets {
+        let mut net = Net::with_instances(*size, 1, Faults::default());
+        // Long enough for the news of the common start to die down.
+        net.run_for(Duration::from_secs(300));
+        let seconds = 30.0;
+        let before = total_bytes(&net);
+        let begun = Instant::now();
+        net.run_for(Duration::from_secs(30));
+        let spent = begun.elapsed().as_secs_f64();
+        let at_rest = (total_bytes(&net) - before) as f64 / seconds / *size as f64;
+        bytes.push((*size as f64, at_rest));
+        busy.push((*size as f64, 100.0 * spent / seconds / *size as f64));
+        eprintln!("members: {size} instances at rest: {at_rest:.0} bytes/s each");
+        // One instance dies and another one joins: what the news costs each.
+        let before = total_bytes(&net);
+        net.kill("instance-001");
+        net.add("instance-new", "north", 1);
+        let list: Vec<_> = net
+            .instances()
+            .iter()
+            .map(|id| listing(id, "north"))
+            .collect();
+        net.hand("instance-new", Event::Listed(list));
+        net.run_for(Duration::from_secs(30));
+        let extra = (total_bytes(&net) - before) as f64 / *size as f64 - at_rest * seconds;
+        churn.push((*size as f64, extra));
+    }
+    vec![
+        Line::fit(
+            ("member", "heartbeats at rest", "bytes/s"),
+            "instances",
+            INSTANCES,
+            bytes,
+        ),
+        Line::fit(
+            ("member", "ticks and heartbeats", "% of a core"),
+            "instances",
+            INSTANCES,
+            busy,
+        ),
+        Line::fit(
+            ("member", "a death and a join", "bytes"),
+            "instances",
+            INSTANCES,
+            churn,
+        ),
+    ]
+}
+
+fn total_bytes(net: &Net) -> u64 {
+    net.sent().values().map(|s| s.1).sum()
+}
+
+fn pool_document(engines: usize, workspaces: usize) -> Document {
+    let address = "127.0.0.1:9".parse().expect("address");
+    let workspaces = (0..workspaces).map(|i| kit::workspace(&format!("w{i}"), 1));
+    kit::document(
+        "pool",
+        Kind::Engine,
+        Limits::default(),
+        &vec![address; engines],
+        workspaces.collect(),
+    )
+}
+
+/// Time until a document and a domain order are in force everywhere.
+fn spreading(fleets: &[usize]) -> Vec<Line> {
+    let mut document = Vec::new();
+    let mut order = Vec::new();
+    let mut bytes = Vec::new();
+    for size in fleets {
+        let mut net = Net::with_instances(*size, 2, Faults::default());
+        net.run_for(Duration::from_secs(5));
+        let before = total_bytes(&net);
+        let versioned = Versioned {
+            version: 1,
+            document: pool_document(45, 28),
+        };
+        let begun = net.now;
+        net.hand("instance-000", Event::Accepted(versioned));
+        let all = |net: &Net, known: &dyn Fn(&Node) -> bool| {
+            net.instances().iter().all(|id| known(net.node(id)))
+        };
+        let took = until(&mut net, begun, |net| {
+            all(net, &|n| n.document("pool").is_some())
+        });
+        document.push((*size as f64, took));
+        bytes.push((
+            *size as f64,
+            (total_bytes(&net) - before) as f64 / *size as f64,
+        ));
+        let key = MarkKey::Domain("north".into());
+        let begun = net.now;
+        let marked = key.clone();
+        net.hand("instance-001", Event::Order { key, out: true });
+        let took = until(&mut net, begun, |net| {
+            all(net, &|n| n.marks().is_out(&marked))
+        });
+        order.push((*size as f64, took));
+    }
+    vec![
+        Line::fit(
+            ("spreader", "a document in force everywhere", "ms"),
+            "instances",
+            INSTANCES,
+            document,
+        ),
+        Line::fit(
+            ("spreader", "a domain order known everywhere", "ms"),
+            "instances",
+            INSTANCES,
+            order,
+        ),
+        Line::fit(
+            ("spreader", "bytes of one change of a document", "bytes"),
+            "instances",
+            INSTANCES,
+            bytes,
+        ),
+    ]
+}
+
+fn until(net: &mut Net, begun: Time, holds: impl Fn(&Net) -> bool) -> f64 {
+    for _ in 0..20_000 {
+        if holds(net) {
+            return net.now.saturating_sub(begun).as_secs_f64() * 1e3;
+        }
+        net.run_for(Duration::from_millis(1));
+    }
+    f64::INFINITY
+}
+
+/// One instance that stewards a whole pool, warm.
+fn lone_node(engines: usize) -> Node {
+    let settings = Settings::builder(listing("alone", "north"), 1)
+        .chats(100_000)
+        .build();
+    let mut node = Node::new(settings, Time::ZERO);
+    let versioned = Versioned {
+        version: 1,
+        document: pool_document(engines, 28),
+    };
+    node.handle(Time::ZERO, Event::Accepted(versioned));
+    for poll in node.polls() {
+        let report = Report {
+            boot: 1,
+            completed: 10_000,
+            ..Report::default()
+        };
+        let event = Event::Report {
+            service: poll.service,
+            target: poll.target,
+            report,
+        };
+        node.handle(Time::ZERO, event);
+    }
+    for tenth in 1..=40 {
+        node.handle(Duration::from_millis(100 * tenth), Event::Tick);
+    }
+    node
+}
+
+fn ask_event(id: u64) -> Event {
+    Event::Ask {
+        id,
+        service: "pool".into(),
+        workspace: format!("w{}", id % 28).into(),
+        chat: id.wrapping_mul(0x9E37_79B9_7F4A_7C15),
+        digest: id,
+        priority: 5,
+        wait: Duration::from_secs(5),
+        avoid: Vec::new(),
+        retry: false,
+    }
+}
+
+/// Processor time of asking for, granting and releasing one slot.
+fn entry(pools: &[usize]) -> Line {
+    const ROUNDS: u64 = 4_000;
+    let mut points = Vec::new();
+    for size in pools {
+        let mut node = lone_node(*size);
+        let now = Duration::from_secs(4);
+        let mut spent = Duration::ZERO;
+        for id in 1..=ROUNDS {
+            let begun = Instant::now();
+            let commands = node.handle(now, ask_event(id));
+            spent += begun.elapsed();
+            let granted = commands.into_iter().find_map(|c| match c {
+                Command::Granted { grant, target, .. } => Some((grant, target)),
+                _ => None,
+            });
+            let Some((grant, target)) = granted else {
+                continue;
+            };
+            let mut release = decision::Release::unused(grant, "pool".into(), target);
+            release.whole = true;
+            release.chat = id.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            release.place.tokens = 500;
+            let event = Event::Release {
+                release,
+                digest: id,
+                crashed: false,
+            };
+            let begun = Instant::now();
+            node.handle(now, event);
+            spent += begun.elapsed();
+        }
+        points.push((*size as f64, spent.as_secs_f64() * 1e6 / ROUNDS as f64));
+    }
+    let planned = ENGINES / MODELS;
+    Line::fit(
+        ("entry", "ask, grant and release of a slot", "us"),
+        "engines",
+        planned,
+        points,
+    )
+}
+
+/// What one steward costs at rest, by the targets it stewards.
+fn steward(targets: &[usize]) -> Vec<Line> {
+    const TICKS: u32 = 20_000;
+    let mut busy = Vec::new();
+    let mut memory = Vec::new();
+    let mut kept: Vec<Node> = Vec::new();
+    for size in targets {
+        let before = resident();
+        let first = kept.len();
+        kept.extend((0..200).map(|_| lone_node(*size)));
+        let used = resident().saturating_sub(before) as f64 / 200.0 / 1024.0;
+        memory.push((*size as f64, used));
+        let node = &mut kept[first];
+        let begun = Instant::now();
+        for tick in 0..TICKS {
+            let now = Duration::from_secs(4) + Duration::from_millis(100) * tick;
+            node.handle(now, Event::Tick);
+        }
+        let a_tick = begun.elapsed().as_secs_f64() / f64::from(TICKS);
+        busy.push((*size as f64, 100.0 * 10.0 * a_tick));
+    }
+    std::mem::forget(kept);
+    let planned = ENGINES / INSTANCES;
+    vec![
+        Line::fit(
+            ("steward", "ticks", "% of a core"),
+            "targets",
+            planned,
+            busy,
+        ),
+        Line::fit(
+            ("steward", "ledgers and documents", "KiB"),
+            "targets",
+            planned,
+            memory,
+        ),
+    ]
+}
+
+/// Memory and time of a home's chat records.
+fn home(sizes: &[usize]) -> Vec<Line> {
+    let mut memory = Vec::new();
+    let mut time = Vec::new();
+    let mut kept = Vec::new();
+    for size in sizes {
+        let before = resident();
+        let mut chats = Chats::new(*size);
+        let place = |i: u64| Place {
+            target: format!("pool-{}", i % 45).into(),
+            tokens: 1_000,
+        };
+        let count = *size as u64;
+        for i in 0..count {
+            chats.served(
+                Duration::from_millis(i),
+                i.wrapping_mul(0x9E37_79B9),
+                place(i),
+            );
+        }
+        let used = resident().saturating_sub(before) as f64 / 1024.0;
+        memory.push((*size as f64, used));
+        let begun = Instant::now();
+        for i in 0..count {
+            let chat = (i * 7 % count).wrapping_mul(0x9E37_79B9);
+            chats.served(Duration::from_millis(count + i), chat, place(i + 1));
+        }
+        time.push((
+            *size as f64,
+            begun.elapsed().as_secs_f64() * 1e6 / count as f64,
+        ));
+        kept.push(chats);
+    }
+    // Never freed, so that the next measurement does not find it again.
+    std::mem::forget(kept);
+    let planned = CHATS / INSTANCES;
+    vec![
+        Line::fit(("home", "chat records", "KiB"), "chats", planned, memory),
+        Line::fit(
+            ("home", "noting one served chat", "us"),
+            "chats",
+            planned,
+            time,
+        ),
+    ]
+}
+
+/// Size of a service document on the mesh.
+fn documents(pools: &[usize]) -> Line {
+    let points = pools.iter().map(|size| {
+        let versioned = Versioned {
+            version: 1,
+            document: pool_document(*size, 28),
+        };
+        (*size as f64, peer::encode(&versioned).len() as f64)
+    });
+    let planned = ENGINES / MODELS;
+    Line::fit(
+        ("spreader", "a document of 28 workspaces", "bytes"),
+        "engines",
+        planned,
+        points.collect(),
+    )
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    const PAGE: u64 = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|p| p.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
--- a/crates/bench/src/standin/engine.rs
+++ b/crates/bench/src/standin/engine.rs
@@ -104,6 +104,8 @@
     pub peak: usize,
     /// Highest number of requests at once while cold.
     pub cold_peak: usize,
+    /// Highest number of requests that ran or waited.
+    pub held_peak: usize,
     /// Crashes.
     pub crashes: u64,
     /// Orders with their fencing numbers, and whether each was taken.
@@ -196,6 +198,17 @@
         self.lock().records.clone()
     }
 
+    /// Requests that run or wait now.
+    pub fn load(&self) -> usize {
+        let state = self.lock();
+        state.running.len() + state.waiting.len()
+    }
+
+    /// Milliseconds since the engine's start.
+    pub fn elapsed_ms(&self) -> u64 {
+        self.0.started.elapsed().as_millis() as u64
+    }
+
     /// Counts so many requests as completed, so that the engine is warm.
     pub fn warm_up(&self) {
         let mut state = self.lock();
@@ -263,7 +276,7 @@
             (Method::Post, "/v1/chat/completions") => self.chat(request),
             (Method::Get, "/load") => {
                 let since = query.strip_prefix("since=").and_then(|s| s.parse().ok());
-                http::json(request, 200, &self.load(since.unwrap_or(0)));
+                http::json(request, 200, &self.report(since.unwrap_or(0)));
             }
             (Method::Get, "/records") => http::json(request, 200, &self.records()),
             (Method::Post, "/orders") => self.order(request),
@@ -286,7 +299,7 @@
     }
 
     /// Load report, which lags, and the cache events since a number.
-    fn load(&self, since: u64) -> Value {
+    fn report(&self, since: u64) -> Value {
         let mut state = self.lock();
         if state.report.0.is_none_or(|at| at.elapsed() >= REPORT_LAG) {
             let report = json!({
@@ -361,6 +374,8 @@
         state.seq += 1;
         let place = (u8::MAX - priority, state.seq);
         state.waiting.insert(place);
+        let held = state.running.len() + state.waiting.len();
+        state.records.held_peak = state.records.held_peak.max(held);
         loop {
             if state.boot != boot || state.stopped {
                 return None;
--- a/crates/bench/src/standin/mod.rs
+++ b/crates/bench/src/standin/mod.rs
@@ -8,6 +8,6 @@
 mod platform;
 mod service;
 
-pub use engine::{Engine, EngineFaults, EngineOptions, EngineRecords, Run};
+pub use engine::{Engine, EngineFaults, EngineOptions, EngineRecords, Run, word};
 pub use platform::{PlatformFaults, PlatformStandIn};
 pub use service::{Service, ServiceFaults, ServiceRecords};
--- a/crates/decision/src/members.rs
+++ b/crates/decision/src/members.rs
@@ -373,7 +373,9 @@
     }
 
     fn spread(&mut self, id: &InstanceId) {
-        let rounds = 4 * (self.by_id.len() as u32 + 1).ilog2() + 4;
+        // Each round reaches a few instances, so this many reach all of them;
+        // what is missed by chance is found by comparing fingerprints.
+        let rounds = (self.by_id.len() as u32 + 1).ilog2() + 1;
         self.rumours.insert(id.clone(), rounds);
     }
 
--- a/crates/decision/src/node/place.rs
+++ b/crates/decision/src/node/place.rs
@@ -49,7 +49,7 @@
             match self.try_grant(now, &ask, &target, 0, out) {
                 Ok(()) => return,
                 Err(Denial::Full | Denial::Bound) if self.is_worth_holding(&ask, &target) => {
-                    return self.hold(now, ask, target, out);
+                    return self.hold(now, ask, &target, out);
                 }
                 Err(_) => ask.tried.push(target),
             }
@@ -72,10 +72,10 @@
     }
 
     /// Lets an ask wait a short while for the target that caches its chat.
-    fn hold(&mut self, now: Time, mut ask: Ask, target: TargetId, out: &mut Vec<Command>) {
+    fn hold(&mut self, now: Time, mut ask: Ask, target: &TargetId, out: &mut Vec<Command>) {
         let hold = Duration::from_millis(u64::from(std::mem::take(&mut ask.hold_ms)));
         self.counters.held_back += 1;
-        self.push(now, &target, ask, now + hold, out);
+        self.push(now, target, ask, now + hold, out);
     }
 
     fn pass_on(&mut self, to: InstanceId, target: TargetId, mut ask: Ask, out: &mut Vec<Command>) {
@@ -526,9 +526,9 @@
     let known = others.filter_map(|t| load(t).map(|l| (share(l), *t)));
     let least = known.min_by(|a, b| a.0.total_cmp(&b.0));
     // A lead of one request may be no more than a release that is on its way.
-    let lead = f64::from(CHOICES_LEAD) / f64::from(first_cap);
+    let margin = f64::from(CHOICES_LEAD) / f64::from(first_cap);
     match least {
-        Some((other, target)) if other + lead <= share((first_load, first_cap)) => target,
+        Some((other, target)) if other + margin <= share((first_load, first_cap)) => target,
         _ => first,
     }
 }
--- a/crates/decision/src/node/pool.rs
+++ b/crates/decision/src/node/pool.rs
@@ -35,11 +35,13 @@
     pushed: Vec<u8>,
     pushed_at: Time,
     out: BTreeSet<TargetId>,
+    index: BTreeMap<TargetId, usize>,
 }
 
 impl Pool {
     fn new(versioned: Versioned) -> Self {
         Pool {
+            index: index(&versioned),
             versioned,
             loads: Loads::default(),
             slots: BTreeMap::new(),
@@ -73,7 +75,8 @@
     }
 
     pub(super) fn spec(&self, target: &str) -> Option<&TargetSpec> {
-        self.versioned.document.target(target)
+        let place = *self.index.get(target)?;
+        self.versioned.document.targets.get(place)
     }
 
     pub(super) fn polls(&self) -> impl Iterator<Item = PollTarget> + '_ {
@@ -166,12 +169,11 @@
     }
 
     fn drop_unknown_targets(&mut self) {
-        let document = &self.versioned.document;
         let gone: Vec<TargetId> = self
             .loads
             .iter()
             .map(|(t, _, _)| t.clone())
-            .filter(|t| document.target(t).is_none())
+            .filter(|t| self.spec(t).is_none())
             .collect();
         for target in gone {
             self.loads.remove(&target);
@@ -249,6 +251,12 @@
     }
 }
 
+/// Place of each target in a document.
+fn index(versioned: &Versioned) -> BTreeMap<TargetId, usize> {
+    let targets = versioned.document.targets.iter().enumerate();
+    targets.map(|(i, t)| (t.id.clone(), i)).collect()
+}
+
 impl Node {
     /// Puts a document into force where its version is higher than the one
     /// known; returns nothing where it is not.
@@ -258,6 +266,7 @@
         match self.pools.get_mut(&service) {
             Some(pool) if pool.versioned.version >= version => return,
             Some(pool) => {
+                pool.index = index(&versioned);
                 pool.versioned = versioned;
                 pool.drop_unknown_targets();
             }
