--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod policy;
 pub mod slopes;
 pub mod standin;
+pub mod standins;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use bench::fleet::{self, FleetOptions, fleet_options};
 use bench::policy::{self, PolicyOptions, policy_options};
 use bench::slopes::{self, SlopesOptions, slopes_options};
+use bench::standins::{self, StandinsOptions, standins_options};
 use bpaf::{OptionParser, Parser, construct};
 use std::process::ExitCode;
 
@@ -11,6 +12,7 @@
     Fleet(FleetOptions),
     Policy(PolicyOptions),
     Slopes(SlopesOptions),
+    Standins(StandinsOptions),
 }
 
 fn options() -> OptionParser<Command> {
@@ -26,7 +28,11 @@
         .to_options()
         .descr("Run the built binary as real processes, under load and faults")
         .command("fleet");
-    construct!([fleet, policy, slopes])
+    let standins = construct!(Command::Standins(standins_options()))
+        .to_options()
+        .descr("Run the stand-ins alone, for trying an instance by hand")
+        .command("standins");
+    construct!([fleet, policy, slopes, standins])
         .to_options()
         .descr("Load and measurement of briargap; JSON lines on standard output")
 }
@@ -36,5 +42,6 @@
         Command::Fleet(options) => fleet::run(&options),
         Command::Policy(options) => policy::run(&options),
         Command::Slopes(options) => slopes::run(&options),
+        Command::Standins(options) => standins::run(&options),
     }
 }
