Split the node's files by concern, and log changes of members

Change: events, settings and waiting asks have files of their own; the lone node of two benches is one; members' changes are logged and gaps counted.

--- a/crates/bench/src/net.rs
+++ b/crates/bench/src/net.rs
@@ -3,8 +3,10 @@
 //! This is a fake of the mesh, not of a cluster: it delivers, delays, loses
 //! and repeats messages, and calls the same code that the daemon runs.
 
+use crate::kit;
 use decision::{
-    Command, Document, Event, InstanceId, Listing, Message, Node, Settings, Time, Versioned,
+    Command, Document, Event, InstanceId, Kind, Limits, Listing, Message, Node, Report, Settings,
+    Time, Versioned,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -80,6 +82,47 @@
     }
 }
 
+/// Document of a pool of so many engines.
+pub fn pool_document(engines: usize, workspaces: usize) -> Document {
+    let address = "127.0.0.1:9".parse().expect("address");
+    let workspaces = (0..workspaces).map(|i| kit::workspace(&format!("w{i}"), 1));
+    kit::document(
+        "pool",
+        Kind::Engine,
+        Limits::default(),
+        &vec![address; engines],
+        workspaces.collect(),
+    )
+}
+
+/// One instance that stewards a whole pool, warm and past its caution.
+pub fn lone_node(engines: usize) -> Node {
+    let settings = Settings::builder(listing("alone", "north"), 1).build();
+    let mut node = Node::new(settings, Time::ZERO);
+    let versioned = Versioned {
+        version: 1,
+        document: pool_document(engines, 28),
+    };
+    node.handle(Time::ZERO, Event::Accepted(versioned));
+    for poll in node.polls() {
+        let report = Report {
+            boot: 1,
+            completed: 10_000,
+            ..Report::default()
+        };
+        let event = Event::Report {
+            service: poll.service,
+            target: poll.target,
+            report,
+        };
+        node.handle(Time::ZERO, event);
+    }
+    for tenth in 1..=40 {
+        node.handle(TICK * tenth, Event::Tick);
+    }
+    node
+}
+
 impl Net {
     /// Makes an empty net; the same seed gives the same run.
     pub fn new(seed: u64, faults: Faults) -> Self {
@@ -103,7 +146,7 @@
         let mut net = Net::new(seed, faults);
         for i in 0..count {
             let name = format_smolstr!("instance-{i:03}");
-            net.add(&name, crate::kit::DOMAINS[i % crate::kit::DOMAINS.len()], 1);
+            net.add(&name, kit::DOMAINS[i % kit::DOMAINS.len()], 1);
         }
         net.list_all();
         net
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -4,13 +4,9 @@
 //! line by least squares; the report gives the slope, its standard error and
 //! what the line says at the size that `docs/CAPACITY.md` plans for.
 
-use crate::kit;
-use crate::net::{Faults, Net, listing};
+use crate::net::{Faults, Net, listing, lone_node, pool_document};
 use bpaf::Bpaf;
-use decision::{
-    Chats, Command, Document, Event, Kind, Limits, MarkKey, Node, Place, Report, Settings, Time,
-    Versioned,
-};
+use decision::{Chats, Command, Event, MarkKey, Node, Place, Time, Versioned};
 use serde::Serialize;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -166,18 +162,6 @@
     net.sent().values().map(|s| s.1).sum()
 }
 
-fn pool_document(engines: usize, workspaces: usize) -> Document {
-    let address = "127.0.0.1:9".parse().expect("address");
-    let workspaces = (0..workspaces).map(|i| kit::workspace(&format!("w{i}"), 1));
-    kit::document(
-        "pool",
-        Kind::Engine,
-        Limits::default(),
-        &vec![address; engines],
-        workspaces.collect(),
-    )
-}
-
 /// Time until a document and a domain order are in force everywhere.
 fn spreading(fleets: &[usize]) -> Vec<Line> {
     let mut document = Vec::new();
@@ -245,36 +229,6 @@
     f64::INFINITY
 }
 
-/// One instance that stewards a whole pool, warm.
-fn lone_node(engines: usize) -> Node {
-    let settings = Settings::builder(listing("alone", "north"), 1)
-        .chats(100_000)
-        .build();
-    let mut node = Node::new(settings, Time::ZERO);
-    let versioned = Versioned {
-        version: 1,
-        document: pool_document(engines, 28),
-    };
-    node.handle(Time::ZERO, Event::Accepted(versioned));
-    for poll in node.polls() {
-        let report = Report {
-            boot: 1,
-            completed: 10_000,
-            ..Report::default()
-        };
-        let event = Event::Report {
-            service: poll.service,
-            target: poll.target,
-            report,
-        };
-        node.handle(Time::ZERO, event);
-    }
-    for tenth in 1..=40 {
-        node.handle(Duration::from_millis(100 * tenth), Event::Tick);
-    }
-    node
-}
-
 fn ask_event(id: u64) -> Event {
     Event::Ask {
         id,
--- a/crates/briargap/src/instance.rs
+++ b/crates/briargap/src/instance.rs
@@ -371,11 +371,13 @@
         Some((chat, tokens))
     });
     let chats: Vec<_> = chats.collect();
+    let is_same_life = known.0 == polled.report.boot;
     if !chats.is_empty() {
         core.event(Event::Cached {
             service: service.clone(),
             target: target.clone(),
             chats,
+            gap: polled.gap && is_same_life,
         });
     }
     let boot = polled.report.boot;
--- a/crates/decision/src/members.rs
+++ b/crates/decision/src/members.rs
@@ -114,6 +114,7 @@
     view: u64,
     round: u64,
     returns: u64,
+    changes: Vec<InstanceId>,
 }
 
 impl Members {
@@ -138,6 +139,7 @@
             view: 0,
             round: 0,
             returns: 0,
+            changes: Vec::new(),
         };
         members.spread(&me.id);
         members.turn();
@@ -149,6 +151,11 @@
         self.view
     }
 
+    /// Takes the instances whose status has changed.
+    pub(crate) fn take_changes(&mut self) -> Vec<InstanceId> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Number that rises whenever an instance that counted as dead is back.
     pub(crate) fn returns(&self) -> u64 {
         self.returns
@@ -262,6 +269,9 @@
             member.heard = now;
         }
         self.returns += u64::from(member.status == Status::Dead);
+        if member.status != rumour.status {
+            self.changes.push(rumour.instance.clone());
+        }
         member.status = rumour.status;
         member.changed = now;
         self.spread(&rumour.instance);
@@ -368,6 +378,7 @@
         member.status = status;
         member.changed = now;
         let id = InstanceId::from(id);
+        self.changes.push(id.clone());
         self.spread(&id);
         self.turn();
     }
--- a/crates/decision/src/node/dump.rs
+++ b/crates/decision/src/node/dump.rs
@@ -46,6 +46,8 @@
     pub lapsed: u64,
     /// Targets that turned cold again.
     pub cold_again: u64,
+    /// Polls that missed cache events.
+    pub cache_gaps: u64,
     /// Requests under which a target crashed.
     pub crashes: u64,
     /// Documents that came into force.
--- /dev/null
+++ b/crates/decision/src/node/event.rs
@@ -0,0 +1,162 @@
+//! What a node is told and what it tells its daemon to do.
+
+use crate::document::Versioned;
+use crate::id::{AskId, ChatId, Digest, GrantId, InstanceId, ServiceId, TargetId, WorkspaceId};
+use crate::marks::{Mark, MarkKey};
+use crate::members::Listing;
+use crate::message::{DenyCode, Message, Release};
+use crate::slots::Report;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time went on; due every tenth of a second.
+    Tick,
+    /// Another instance sent a message.
+    Peer {
+        /// Sender.
+        from: InstanceId,
+        /// What it sent.
+        message: Message,
+    },
+    /// The connection to another instance was refused or broke.
+    PeerLost(InstanceId),
+    /// The platform gave its list of instances.
+    Listed(Vec<Listing>),
+    /// A document was read from the platform's table, or written there.
+    Accepted(Versioned),
+    /// A drain mark was read from the platform's table.
+    Marked(Mark),
+    /// An operator takes something out or back in, here.
+    Order {
+        /// What.
+        key: MarkKey,
+        /// Whether it goes out.
+        out: bool,
+    },
+    /// A request needs a slot.
+    Ask {
+        /// Number, unique at this instance.
+        id: AskId,
+        /// Service.
+        service: ServiceId,
+        /// Workspace.
+        workspace: WorkspaceId,
+        /// Chat.
+        chat: ChatId,
+        /// Digest of the request.
+        digest: Digest,
+        /// Priority; higher goes first.
+        priority: u8,
+        /// Longest wait.
+        wait: Duration,
+        /// Targets that must not be used.
+        avoid: Vec<TargetId>,
+        /// Whether this is not the request's first attempt.
+        retry: bool,
+    },
+    /// A request no longer wants the slot it asked for.
+    Cancel(AskId),
+    /// An attempt has ended.
+    Release {
+        /// What ended.
+        release: Release,
+        /// Digest of the request.
+        digest: Digest,
+        /// Whether the target crashed under it.
+        crashed: bool,
+    },
+    /// A target reported its load.
+    Report {
+        /// Service.
+        service: ServiceId,
+        /// Target.
+        target: TargetId,
+        /// What it said.
+        report: Report,
+    },
+    /// A target told how many tokens of chats it caches.
+    Cached {
+        /// Service.
+        service: ServiceId,
+        /// Target.
+        target: TargetId,
+        /// Tokens of each chat.
+        chats: Vec<(ChatId, u32)>,
+        /// Whether events before these were lost.
+        gap: bool,
+    },
+    /// A target refused a connection.
+    Unreachable {
+        /// Service.
+        service: ServiceId,
+        /// Target.
+        target: TargetId,
+    },
+    /// An operator releases a digest from quarantine, here.
+    Pardon(Digest),
+    /// This instance begins to stop.
+    Leave,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Send a message to another instance.
+    Send {
+        /// Receiver.
+        to: InstanceId,
+        /// What to send.
+        message: Message,
+    },
+    /// A request has its slot.
+    Granted {
+        /// The ask.
+        ask: AskId,
+        /// The grant.
+        grant: GrantId,
+        /// Target.
+        target: TargetId,
+        /// Address of the target.
+        address: SocketAddr,
+    },
+    /// A request gets no slot; it has not run.
+    Denied {
+        /// The ask.
+        ask: AskId,
+        /// Why.
+        code: DenyCode,
+    },
+    /// Write a drain mark to the platform's table.
+    Store(Mark),
+    /// Give a part of a kept answer to another instance.
+    Answer {
+        /// Who asked.
+        to: InstanceId,
+        /// What was asked; an [`Message::AnswerAsk`].
+        message: Message,
+    },
+    /// A part of an answer that another instance keeps has come.
+    Part(Message),
+    /// A document came into force.
+    InForce(ServiceId, u64),
+    /// The process has noticed that it was paused.
+    Woke(Duration),
+    /// An instance's status changed, for the log.
+    Changed(InstanceId),
+    /// A target turned cold or stopped answering, for the log.
+    TargetChanged(TargetId, &'static str),
+}
+
+/// A target whose load report this instance reads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PollTarget {
+    /// Service.
+    pub service: ServiceId,
+    /// Target.
+    pub target: TargetId,
+    /// Address.
+    pub address: SocketAddr,
+}
--- a/crates/decision/src/node/mod.rs
+++ b/crates/decision/src/node/mod.rs
@@ -2,24 +2,28 @@
 
 mod dump;
 mod entry;
+mod event;
 mod place;
 mod pool;
+mod settings;
 mod spread;
+mod waiting;
 
 pub use dump::{Counters, NodeDump};
+pub use event::{Command, Event, PollTarget};
+pub use settings::{Settings, SettingsBuilder};
 
 use crate::budget::Budget;
 use crate::chats::Chats;
 use crate::document::{Kind, Versioned};
 use crate::hash::rank;
 use crate::id::{
-    AskId, ChatId, Digest, GrantId, Incarnation, InstanceId, ServiceId, TargetId, Time, WorkspaceId,
+    AskId, ChatId, GrantId, Incarnation, InstanceId, ServiceId, TargetId, Time, WorkspaceId,
 };
-use crate::marks::{Mark, MarkKey, Marks};
-use crate::members::{Listing, Members, Timing};
-use crate::message::{DenyCode, Message, Release};
+use crate::marks::{MarkKey, Marks};
+use crate::members::Members;
+use crate::message::Message;
 use crate::quarantine::Quarantine;
-use crate::slots::Report;
 use entry::{HeldGrant, PendingAsk};
 use pool::Pool;
 use std::collections::BTreeMap;
@@ -32,221 +36,6 @@
 /// Messages of chat records that a stopping instance sends in one tick.
 const HANDOVER_BURST: usize = 10;
 
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time went on; due every tenth of a second.
-    Tick,
-    /// Another instance sent a message.
-    Peer {
-        /// Sender.
-        from: InstanceId,
-        /// What it sent.
-        message: Message,
-    },
-    /// The connection to another instance was refused or broke.
-    PeerLost(InstanceId),
-    /// The platform gave its list of instances.
-    Listed(Vec<Listing>),
-    /// A document was read from the platform's table, or written there.
-    Accepted(Versioned),
-    /// A drain mark was read from the platform's table.
-    Marked(Mark),
-    /// An operator takes something out or back in, here.
-    Order {
-        /// What.
-        key: MarkKey,
-        /// Whether it goes out.
-        out: bool,
-    },
-    /// A request needs a slot.
-    Ask {
-        /// Number, unique at this instance.
-        id: AskId,
-        /// Service.
-        service: ServiceId,
-        /// Workspace.
-        workspace: WorkspaceId,
-        /// Chat.
-        chat: ChatId,
-        /// Digest of the request.
-        digest: Digest,
-        /// Priority; higher goes first.
-        priority: u8,
-        /// Longest wait.
-        wait: Duration,
-        /// Targets that must not be used.
-        avoid: Vec<TargetId>,
-        /// Whether this is not the request's first attempt.
-        retry: bool,
-    },
-    /// A request no longer wants the slot it asked for.
-    Cancel(AskId),
-    /// An attempt has ended.
-    Release {
-        /// What ended.
-        release: Release,
-        /// Digest of the request.
-        digest: Digest,
-        /// Whether the target crashed under it.
-        crashed: bool,
-    },
-    /// A target reported its load.
-    Report {
-        /// Service.
-        service: ServiceId,
-        /// Target.
-        target: TargetId,
-        /// What it said.
-        report: Report,
-    },
-    /// A target told how many tokens of chats it caches.
-    Cached {
-        /// Service.
-        service: ServiceId,
-        /// Target.
-        target: TargetId,
-        /// Tokens of each chat.
-        chats: Vec<(ChatId, u32)>,
-    },
-    /// A target refused a connection.
-    Unreachable {
-        /// Service.
-        service: ServiceId,
-        /// Target.
-        target: TargetId,
-    },
-    /// An operator releases a digest from quarantine, here.
-    Pardon(Digest),
-    /// This instance begins to stop.
-    Leave,
-}
-
-/// Something to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// Send a message to another instance.
-    Send {
-        /// Receiver.
-        to: InstanceId,
-        /// What to send.
-        message: Message,
-    },
-    /// A request has its slot.
-    Granted {
-        /// The ask.
-        ask: AskId,
-        /// The grant.
-        grant: GrantId,
-        /// Target.
-        target: TargetId,
-        /// Address of the target.
-        address: SocketAddr,
-    },
-    /// A request gets no slot; it has not run.
-    Denied {
-        /// The ask.
-        ask: AskId,
-        /// Why.
-        code: DenyCode,
-    },
-    /// Write a drain mark to the platform's table.
-    Store(Mark),
-    /// Give a part of a kept answer to another instance.
-    Answer {
-        /// Who asked.
-        to: InstanceId,
-        /// What was asked; an [`Message::AnswerAsk`].
-        message: Message,
-    },
-    /// A part of an answer that another instance keeps has come.
-    Part(Message),
-    /// A document came into force.
-    InForce(ServiceId, u64),
-    /// The process has noticed that it was paused.
-    Woke(Duration),
-    /// An instance's status changed, for the log.
-    Changed(InstanceId),
-    /// A target turned cold or stopped answering, for the log.
-    TargetChanged(TargetId, &'static str),
-}
-
-/// A target whose load report this instance reads.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PollTarget {
-    /// Service.
-    pub service: ServiceId,
-    /// Target.
-    pub target: TargetId,
-    /// Address.
-    pub address: SocketAddr,
-}
-
-/// What a node is told at its start.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    me: Listing,
-    incarnation: Incarnation,
-    chats: usize,
-    timing: Timing,
-}
-
-impl Settings {
-    /// Starts the settings of an instance.
-    pub fn builder(me: Listing, incarnation: Incarnation) -> SettingsBuilder {
-        SettingsBuilder(Settings {
-            me,
-            incarnation,
-            chats: 20_000,
-            timing: Timing {
-                beat: Duration::from_secs(1),
-                suspect: Duration::from_secs(3),
-                dead: Duration::from_secs(2),
-            },
-        })
-    }
-}
-
-/// Builder of [`Settings`].
-#[derive(Clone, Debug)]
-pub struct SettingsBuilder(Settings);
-
-impl SettingsBuilder {
-    /// Most chats on record.
-    #[must_use]
-    pub fn chats(mut self, most: usize) -> Self {
-        self.0.chats = most;
-        self
-    }
-
-    /// Interval of heartbeats.
-    #[must_use]
-    pub fn beat(mut self, interval: Duration) -> Self {
-        self.0.timing.beat = interval;
-        self
-    }
-
-    /// Silence after which a member is suspected.
-    #[must_use]
-    pub fn suspect_after(mut self, silence: Duration) -> Self {
-        self.0.timing.suspect = silence;
-        self
-    }
-
-    /// Time after which a suspect that has not refuted counts as dead.
-    #[must_use]
-    pub fn dead_after(mut self, time: Duration) -> Self {
-        self.0.timing.dead = time;
-        self
-    }
-
-    /// Finishes the settings.
-    #[must_use]
-    pub fn build(self) -> Settings {
-        self.0
-    }
-}
-
 /// One instance's share of the fleet's decisions.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -334,7 +123,11 @@
                 service,
                 target,
                 chats,
-            } => self.cached(&service, &target, chats, &mut out),
+                gap,
+            } => {
+                self.counters.cache_gaps += u64::from(gap);
+                self.cached(&service, &target, chats, &mut out);
+            }
             Event::Unreachable { service, target } => {
                 self.unreachable(now, &service, &target, &mut out);
             }
@@ -343,6 +136,8 @@
             ask @ Event::Ask { .. } => self.ask(now, ask, &mut out),
         }
         self.follow_view(now, &mut out);
+        let changes = self.members.take_changes();
+        out.extend(changes.into_iter().map(Command::Changed));
         out
     }
 
--- a/crates/decision/src/node/place.rs
+++ b/crates/decision/src/node/place.rs
@@ -6,22 +6,15 @@
 use crate::document::Limits;
 use crate::id::{ChatId, InstanceId, ServiceId, TargetId, Time};
 use crate::message::{Ask, DenyCode, Grant, Hold, Message, Release};
-use crate::queue::Waiting;
 use crate::slots::Denial;
 use std::time::Duration;
 
 /// Most times an ask is passed on before it is queued.
 const HOPS: u8 = 6;
-/// Queued asks of one target that are placed elsewhere in one tick.
-const MOVES_A_TICK: usize = 4;
 /// First choices of a new chat that are compared by load.
 const CHOICES: usize = 4;
 /// Requests by which another choice must be ahead of the first.
 const CHOICES_LEAD: u32 = 2;
-/// Time after which an ask is placed again that a queue could not serve.
-const MOVE_AGAIN: Duration = Duration::from_millis(500);
-/// Queues in which an ask waits in turn within its longest wait.
-const QUEUES_A_WAIT: u32 = 4;
 
 impl Node {
     /// Places an ask: grants it here, passes it on, or queues it.
@@ -78,7 +71,13 @@
         self.push(now, target, ask, now + hold, out);
     }
 
-    fn pass_on(&mut self, to: InstanceId, target: TargetId, mut ask: Ask, out: &mut Vec<Command>) {
+    pub(super) fn pass_on(
+        &mut self,
+        to: InstanceId,
+        target: TargetId,
+        mut ask: Ask,
+        out: &mut Vec<Command>,
+    ) {
         ask.hops += 1;
         ask.target = target;
         if ask.entry.is_empty() {
@@ -132,7 +131,7 @@
         chosen.map(TargetId::from)
     }
 
-    fn is_candidate(&self, pool: &Pool, target: &str, ask: &Ask) -> bool {
+    pub(super) fn is_candidate(&self, pool: &Pool, target: &str, ask: &Ask) -> bool {
         let Some(spec) = pool.spec(target) else {
             return false;
         };
@@ -143,7 +142,7 @@
     ///
     /// `over` is the number of requests over the bound that are allowed, for
     /// an ask that every target has denied: the known mean is then too low.
-    fn try_grant(
+    pub(super) fn try_grant(
         &mut self,
         now: Time,
         ask: &Ask,
@@ -187,7 +186,13 @@
     }
 
     /// Answers an ask: over the mesh, or here where this is the entry.
-    fn reply(&mut self, entry: &InstanceId, message: Message, now: Time, out: &mut Vec<Command>) {
+    pub(super) fn reply(
+        &mut self,
+        entry: &InstanceId,
+        message: Message,
+        now: Time,
+        out: &mut Vec<Command>,
+    ) {
         if !entry.is_empty() && *entry != self.me {
             out.push(Command::Send {
                 to: entry.clone(),
@@ -229,187 +234,6 @@
         }
     }
 
-    /// Queues an ask for the first of its targets that this instance stewards.
-    fn enqueue(&mut self, now: Time, mut ask: Ask, out: &mut Vec<Command>) {
-        let pool = &self.pools[&ask.service];
-        let ranking = pool.ranking(ask.chat);
-        let wanted = std::mem::take(&mut ask.target);
-        let mut queues = std::iter::once(wanted.as_str()).chain(ranking);
-        let Some(target) = queues.find(|t| pool.slots.contains_key(*t)) else {
-            return self.deny(&ask, DenyCode::Unsettled, out);
-        };
-        let target = TargetId::from(target);
-        ask.tried.clear();
-        let takes_work = self.is_candidate(pool, &target, &ask);
-        let is_first = pool.queues.get(&target).is_none_or(crate::Queue::is_empty);
-        if takes_work && is_first && self.try_grant(now, &ask, &target, 1, out).is_ok() {
-            return;
-        }
-        let limits = &self.pools[&ask.service].versioned.document.limits;
-        let moves = now + limits.queue_time / QUEUES_A_WAIT;
-        self.push(now, &target, ask, moves, out);
-    }
-
-    /// Queues an ask; at `moves` it is placed elsewhere.
-    fn push(
-        &mut self,
-        now: Time,
-        target: &TargetId,
-        ask: Ask,
-        moves: Time,
-        out: &mut Vec<Command>,
-    ) {
-        let pool = self.pools.get_mut(&ask.service).expect("pool");
-        let document = &pool.versioned.document;
-        let limits = &document.limits;
-        let wait = Duration::from_millis(u64::from(ask.wait_ms)).min(limits.queue_time);
-        let queue = pool.queues.entry(target.clone()).or_default();
-        let share = document.workspace(&ask.workspace).map_or(1, |w| w.share);
-        let entry = ask.entry.clone();
-        let id = ask.id;
-        let dropped = queue.push(ask, (moves, now + wait), share, limits.queue);
-        if let Some(dropped) = &dropped {
-            self.counters.shed += 1;
-            self.deny(dropped, DenyCode::Overloaded, out);
-        }
-        let is_kept = dropped.is_none_or(|d| d.entry != entry || d.id != id);
-        if is_kept {
-            self.counters.queued += 1;
-            self.reply(&entry, Message::Queued(id), now, out);
-        }
-    }
-
-    /// Grants what waits for one target, for as long as it has room.
-    pub(super) fn serve(
-        &mut self,
-        now: Time,
-        service: &ServiceId,
-        target: &TargetId,
-        out: &mut Vec<Command>,
-    ) {
-        while let Some(ask) = self.next_waiting(service, target) {
-            let pool = &self.pools[service];
-            if !self.is_candidate(pool, target, &ask) || !has_room(pool, now, target, &ask) {
-                return;
-            }
-            // Out of the queue first: a grant that comes back at once serves it again.
-            let pool = self.pools.get_mut(service).expect("pool");
-            pool.queues.get_mut(target).and_then(crate::Queue::pop);
-            if self.try_grant(now, &ask, target, 0, out).is_err() {
-                let moves = now + MOVE_AGAIN;
-                return self.push(now, target, ask, moves, out);
-            }
-        }
-    }
-
-    fn next_waiting(&self, service: &ServiceId, target: &TargetId) -> Option<Ask> {
-        let queue = self.pools.get(service)?.queues.get(target)?;
-        queue.peek().cloned()
-    }
-
-    /// Serves every queue, and places elsewhere what another target has room for.
-    pub(super) fn serve_all(&mut self, now: Time, service: &ServiceId, out: &mut Vec<Command>) {
-        let pool = &self.pools[service];
-        let waiting: Vec<TargetId> = pool
-            .queues
-            .iter()
-            .filter(|(_, q)| !q.is_empty())
-            .map(|(t, _)| t.clone())
-            .collect();
-        for target in waiting {
-            self.serve(now, service, &target, out);
-            for _ in 0..MOVES_A_TICK {
-                if !self.move_waiting(now, service, &target, out) {
-                    break;
-                }
-            }
-            self.move_late(now, service, &target, out);
-        }
-    }
-
-    /// Places asks that were held back elsewhere, and sends those that have
-    /// waited for long to the queue of their next choice, because a target
-    /// whose requests are long hardly serves its queue.
-    fn move_late(
-        &mut self,
-        now: Time,
-        service: &ServiceId,
-        target: &TargetId,
-        out: &mut Vec<Command>,
-    ) {
-        let pool = self.pools.get_mut(service).expect("pool");
-        let queue = pool.queues.get_mut(target);
-        let moving = queue.map(|q| q.take_moving(now)).unwrap_or_default();
-        for waiting in moving {
-            let mut ask = remaining(now, waiting);
-            if !ask.full {
-                // Held back for the chat's cache: any other target will do now.
-                ask.tried.push(target.clone());
-                ask.hops = 0;
-                self.place(now, ask, out);
-                continue;
-            }
-            let pool = &self.pools[service];
-            let ranking = pool.ranking(ask.chat);
-            let at = ranking.iter().position(|t| t == target).unwrap_or(0);
-            let others = ranking.iter().cycle().skip(at + 1).take(ranking.len());
-            let mut others = others.filter(|t| self.is_candidate(pool, t, &ask));
-            let next = TargetId::from(*others.next().unwrap_or(&target.as_str()));
-            let steward = pool.steward(&next).cloned();
-            ask.full = true;
-            ask.hops = 0;
-            self.counters.moved += 1;
-            match steward {
-                Some(steward) if steward != self.me => self.pass_on(steward, next, ask, out),
-                _ => {
-                    ask.target = next;
-                    self.enqueue(now, ask, out);
-                }
-            }
-        }
-    }
-
-    /// Places the first waiting ask on another target that is known to have room.
-    fn move_waiting(
-        &mut self,
-        now: Time,
-        service: &ServiceId,
-        target: &TargetId,
-        out: &mut Vec<Command>,
-    ) -> bool {
-        // An ask that is held back for its chat's cache stays for its time.
-        let next = self.next_waiting(service, target);
-        let Some(ask) = next.filter(|ask| ask.full) else {
-            return false;
-        };
-        let pool = &self.pools[service];
-        let has_room = pool.loads.iter().any(|(t, _, _)| {
-            t != target && !is_known_full(pool, t) && self.is_candidate(pool, t, &ask)
-        });
-        if !has_room {
-            return false;
-        }
-        let pool = self.pools.get_mut(service).expect("pool");
-        let popped = pool.queues.get_mut(target).and_then(crate::Queue::pop);
-        let Some(mut ask) = popped.map(|w| remaining(now, w)) else {
-            return false;
-        };
-        ask.tried.push(target.clone());
-        ask.full = false;
-        ask.hops = 0;
-        self.counters.moved += 1;
-        self.place(now, ask, out);
-        true
-    }
-
-    pub(super) fn cancel_came(&mut self, service: &str, entry: &InstanceId, ask: u64) {
-        if let Some(pool) = self.pools.get_mut(service) {
-            for queue in pool.queues.values_mut() {
-                queue.cancel(entry, ask);
-            }
-        }
-    }
-
     /// Frees the slot of an attempt and notes where the chat's cache lies.
     pub(super) fn released(&mut self, now: Time, release: &Release, out: &mut Vec<Command>) {
         let Some(pool) = self.pools.get_mut(&release.service) else {
@@ -488,25 +312,7 @@
     u16::try_from(saved.min(limits.hold_time).as_millis()).unwrap_or(u16::MAX)
 }
 
-/// An ask out of a queue, with what is left of its wait.
-fn remaining(now: Time, waiting: Waiting) -> Ask {
-    let left = waiting.expires.saturating_sub(now).as_millis();
-    Ask {
-        wait_ms: u32::try_from(left).unwrap_or(u32::MAX),
-        ..waiting.ask
-    }
-}
-
-/// Whether the ledger of a target would grant an ask.
-fn has_room(pool: &Pool, now: Time, target: &str, ask: &Ask) -> bool {
-    let limits = &pool.versioned.document.limits;
-    pool.slots.get(target).is_some_and(|slots| {
-        let bound = pool.loads.bound(slots.cap(limits), limits.multiple);
-        slots.check(now, bound, ask.suspect, limits).is_ok()
-    })
-}
-
-fn is_known_full(pool: &Pool, target: &str) -> bool {
+pub(super) fn is_known_full(pool: &Pool, target: &str) -> bool {
     let limits = &pool.versioned.document.limits;
     let Some((load, cap)) = pool.loads.get(target) else {
         return false;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -24,7 +24,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Pause before a peer that refused is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(300);
-/// Unacknowledged time after which the kernel drops a connection.
+/// Frames that wait for a connection; further ones are dropped.
 const FRAMES_WAITING: usize = 1_024;
 
 /// Any stream that a WebSocket can run over.
