Tell of a crash only when its news has gone ahead

A caller that was told of the failure sent its request again, to an instance that the suspicion had not reached yet; and a connection that timed out after a break did not count as a crash.

Change: the answer to a request under which a target crashed waits 300 ms; no connection after a break counts as a crash, refused or not. Ruled out: the stand-in counting a crash twice (mended before).

--- a/crates/briargap/src/runner.rs
+++ b/crates/briargap/src/runner.rs
@@ -19,6 +19,8 @@
 const GRANT_AGE: Duration = Duration::from_secs(2);
 /// Least status with which a target says that the fault is its own.
 const SERVER_ERRORS: u16 = 500;
+/// Pause before a caller is told of a failure under which a target crashed.
+const CRASH_PAUSE: Duration = Duration::from_millis(300);
 /// Characters of a prompt that make about one token.
 const CHARS_A_TOKEN: usize = 4;
 
@@ -52,6 +54,8 @@
     first_ms: Option<u32>,
     breaks: u32,
     refused: bool,
+    crashed: bool,
+    refusal: Option<Error>,
     reason: Error,
     staged: Option<Part>,
     whole: Option<(u16, Arc<[u8]>)>,
@@ -99,6 +103,8 @@
             first_ms: None,
             breaks: 0,
             refused: false,
+            crashed: false,
+            refusal: None,
             reason: Error::new("failed", Step::Answer, "target", "no attempt succeeded"),
             staged: None,
             whole: None,
@@ -117,6 +123,13 @@
         let mut ended = self.carry_out(first);
         loop {
             if let Some(outcome) = ended {
+                if let Some(error) = self.refusal.take() {
+                    if self.crashed {
+                        // The news of the crash goes ahead of the caller's next send.
+                        tokio::time::sleep(CRASH_PAUSE).await;
+                    }
+                    self.log.push(Part::Refused(error));
+                }
                 return Ended {
                     outcome,
                     whole: self.whole.take(),
@@ -452,6 +465,7 @@
         // An attempt that broke, and the next one failed too or was refused:
         // the target has crashed.
         let crashed = self.breaks >= 2 || (self.breaks == 1 && self.refused);
+        self.crashed |= crashed;
         self.breaks = 0;
         self.refused = false;
         self.core.event(Event::Release {
@@ -478,7 +492,7 @@
                 Error::new("timeout", Step::Answer, "target", message).with_ran(ran)
             }
         };
-        self.log.push(Part::Refused(error));
+        self.refusal = Some(error);
     }
 }
 
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -50,13 +50,13 @@
         Ok(Ok(tcp)) => tcp,
         Ok(Err(e)) => {
             return Err(Stopped::Before {
-                refused: e.kind() == std::io::ErrorKind::ConnectionRefused,
+                refused: true,
                 message: e.to_string(),
             });
         }
         Err(_) => {
             return Err(Stopped::Before {
-                refused: false,
+                refused: true,
                 message: "no connection in time".to_owned(),
             });
         }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -59,7 +59,7 @@
 pub enum Heard {
     /// No connection could be opened, or the target said that it did not run.
     NotRun {
-        /// Whether the target refused the connection.
+        /// Whether no connection could be opened.
         refused: bool,
         /// What went wrong.
         message: String,
