Measure what the fleet adds to the first token

Cause: the issue asks for the router's own addition; the report compared long prompts through the fleet with short ones of an engine.

Change: bench fleet sends the same short prompts to engines directly and through the instance that a lookup names.

--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -59,6 +59,8 @@
 
 /// Slots of an engine.
 const SLOTS: u32 = 16;
+/// Short prompts that are sent to measure what the fleet adds.
+const FIRST_SAMPLES: usize = 200;
 /// Time in which the fleet must be ready.
 const READY: Duration = Duration::from_secs(30);
 
@@ -291,7 +293,8 @@
     measures.rest_cpu = 100.0 * (deployment.cpu() - cpu) / spent / nodes;
     let sum = |bytes: &BTreeMap<String, f64>| bytes.values().sum::<f64>();
     measures.rest_bytes = (sum(&deployment.mesh_bytes()) - sum(&bytes)) / spent / nodes;
-    measures.direct = direct(&deployment.engines);
+    let (direct, through) = first_times(deployment);
+    measures.take_first_times(direct, through);
     measures.take_outcomes(&outcomes);
     measures.cell = Cell::new("no fault", &outcomes, time);
     measures.cell.least = report::LEAST_WITHOUT_FAULT;
@@ -328,23 +331,28 @@
     cached as f64 / prompt.max(1) as f64
 }
 
-/// Time to the first token of an engine that is asked directly, at p50 and p95.
-fn direct(engines: &[Engine]) -> (f64, f64) {
-    let caller = Caller::new("none");
-    let mut times: Vec<Duration> = (0..60)
-        .filter_map(|i| {
-            let engine = &engines[i % engines.len()];
-            let body = serde_json::json!({
-                "prompt_cache_key": format!("direct-{i}"),
-                "messages": [{ "role": "user", "content": "short" }],
-            });
-            caller.chat_with(engine.address(), "direct", &body).first
-        })
-        .collect();
-    times.sort();
-    let at = |share: usize| times.get(times.len() * share / 100).copied();
-    let ms = |share| at(share).unwrap_or_default().as_secs_f64() * 1e3;
-    (ms(50), ms(95))
+/// Times to the first token of short prompts, one after the other: of engines
+/// asked directly, and through the instance that a lookup names.
+fn first_times(deployment: &Deployment) -> (Vec<Duration>, Vec<Duration>) {
+    let caller = Caller::new(&kit::key("w1"));
+    let any = deployment.processes[0].listing.caller;
+    let (mut direct, mut through) = (Vec::new(), Vec::new());
+    for i in 0..FIRST_SAMPLES {
+        let chat = format!("first-{i}");
+        let body = serde_json::json!({
+            "model": "assistant",
+            "stream": true,
+            "max_tokens": 2,
+            "prompt_cache_key": chat,
+            "messages": [{ "role": "user", "content": "short" }],
+        });
+        let engine = &deployment.engines[i % deployment.engines.len()];
+        direct.extend(caller.chat_with(engine.address(), "direct", &body).first);
+        let located = caller.locate(any, "assistant", &chat);
+        let at = located.first().copied().unwrap_or(any);
+        through.extend(caller.chat_with(at, &chat, &body).first);
+    }
+    (direct, through)
 }
 
 /// Share of outcomes that are done.
--- a/crates/bench/src/fleet/report.rs
+++ b/crates/bench/src/fleet/report.rs
@@ -86,13 +86,21 @@
     pub(super) memory: f64,
     /// Time to the first token at p50, p95 and p99, in milliseconds.
     pub(super) first: [f64; 3],
-    /// Time to the first token of an engine asked directly, at p50 and p95.
-    pub(super) direct: (f64, f64),
+    /// Time to the first token of short prompts, one after the other, of an
+    /// engine asked directly, at p50, p95 and p99.
+    pub(super) direct: [f64; 3],
+    /// The same through the fleet.
+    pub(super) through: [f64; 3],
     /// Longest gap between two tokens of an answer at p50, p95 and p99.
     pub(super) gap: [f64; 3],
 }
 
 impl Measures {
+    pub(super) fn take_first_times(&mut self, direct: Vec<Duration>, through: Vec<Duration>) {
+        self.direct = percentiles(direct.into_iter());
+        self.through = percentiles(through.into_iter());
+    }
+
     pub(super) fn take_outcomes(&mut self, outcomes: &[Outcome]) {
         let chats = || outcomes.iter().filter(|o| o.order.is_none() && o.is_done);
         self.first = percentiles(chats().map(|o| o.first));
@@ -154,9 +162,13 @@
         ("resident memory, highest", format!("{:.1} MiB", m.memory)),
         ("first token p50, p95, p99", format!("{:?} ms", m.first)),
         (
-            "first token, engine asked directly p50, p95",
+            "short prompt, engine asked directly p50, p95, p99",
             format!("{:?} ms", m.direct),
         ),
+        (
+            "short prompt, through the fleet p50, p95, p99",
+            format!("{:?} ms", m.through),
+        ),
         (
             "longest gap of an answer p50, p95, p99",
             format!("{:?} ms", m.gap),
