Publish the stand-in's cache events late, and let its platform go silent

Change: an event is published 300 ms after it happened; the platform has the switch silent; a test shows what it does to a chat and to an order.

After: with a silent platform a chat is whole, and an order under an own key is refused with claim_unavailable and did not run.

--- a/crates/bench/src/standin/engine.rs
+++ b/crates/bench/src/standin/engine.rs
@@ -18,6 +18,8 @@
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 /// Age of the load report that is given out.
 const REPORT_LAG: Duration = Duration::from_millis(200);
+/// Time after which a cache event is published.
+const EVENT_LAG: Duration = Duration::from_millis(300);
 /// Completed requests after which an engine is warm.
 const WARM_AFTER: u64 = 28;
 
@@ -112,6 +114,14 @@
     pub orders: Vec<(u64, String, bool)>,
 }
 
+/// A change of the tokens that are cached of a chat.
+struct CacheEvent {
+    seq: u64,
+    chat: String,
+    tokens: usize,
+    at: Instant,
+}
+
 #[derive(Default)]
 struct Cache {
     chats: BTreeMap<String, (u64, usize)>,
@@ -126,7 +136,7 @@
     seq: u64,
     completed: u64,
     cache: Cache,
-    events: VecDeque<(u64, String, usize)>,
+    events: VecDeque<CacheEvent>,
     event_seq: u64,
     faults: EngineFaults,
     records: EngineRecords,
@@ -311,11 +321,14 @@
             state.report = (Some(Instant::now()), report);
         }
         let mut report = state.report.1.clone();
-        let events = state.events.iter().filter(|e| e.0 >= since);
-        report["events"] = events
-            .map(|(seq, chat, tokens)| json!({ "seq": seq, "chat": chat, "tokens": tokens }))
+        // Events are published late, and some of them never.
+        let published = state.events.iter().filter(|e| e.at.elapsed() >= EVENT_LAG);
+        let due: Vec<&CacheEvent> = published.filter(|e| e.seq >= since).collect();
+        report["next"] = json!(due.last().map_or(since, |e| e.seq + 1));
+        report["events"] = due
+            .into_iter()
+            .map(|e| json!({ "seq": e.seq, "chat": e.chat, "tokens": e.tokens }))
             .collect();
-        report["next"] = json!(state.event_seq);
         report
     }
 
@@ -441,7 +454,12 @@
                 state.event_seq += 1;
                 let every = state.faults.gap_every;
                 if every == 0 || !(seq + 1).is_multiple_of(every) {
-                    state.events.push_back((seq, chat, tokens));
+                    state.events.push_back(CacheEvent {
+                        seq,
+                        chat,
+                        tokens,
+                        at: Instant::now(),
+                    });
                 }
             }
             while state.events.len() > 1_000 {
--- a/crates/bench/src/standin/platform.rs
+++ b/crates/bench/src/standin/platform.rs
@@ -16,6 +16,8 @@
 pub struct PlatformFaults {
     /// Every call is refused.
     pub down: bool,
+    /// Connections are taken and never answered.
+    pub silent: bool,
     /// Delay of every answer, in milliseconds.
     pub slow_ms: u64,
     /// Every n-th write takes effect and its answer is lost; 0 for none.
@@ -44,6 +46,8 @@
     _server: Arc<Server>,
 }
 
+/// Longest that a silent connection is held.
+const SILENCE: Duration = Duration::from_secs(30);
 /// Shortest time between two reads of the weight store.
 const WEIGHTS_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -100,6 +104,10 @@
     if faults.slow_ms > 0 {
         std::thread::sleep(Duration::from_millis(faults.slow_ms));
     }
+    if faults.silent {
+        std::thread::sleep(SILENCE);
+        return http::hang_up(request);
+    }
     if faults.down {
         return http::json(request, 503, &"down");
     }
--- a/crates/bench/tests/whole_path.rs
+++ b/crates/bench/tests/whole_path.rs
@@ -266,6 +266,24 @@
     assert_eq!(runs(&kit, body), 1);
 }
 
+#[test]
+fn a_platform_that_goes_silent_holds_up_no_chat_and_runs_no_order() {
+    let kit = kit(EngineOptions::default());
+    kit.platform.set_faults(PlatformFaults {
+        silent: true,
+        ..PlatformFaults::default()
+    });
+    let got = caller().chat(kit.caller(0), "assistant", "q", &messages("still served"));
+    assert!(got.whole, "{got:?}");
+    let body = r#"{"order":"silent"}"#;
+    let own = caller().call(kit.caller(1), "orders/place", Some("silent"), body);
+    assert_eq!(
+        (own.code.as_str(), own.run.as_str()),
+        ("claim_unavailable", "unknown")
+    );
+    assert_eq!(runs(&kit, body), 0);
+}
+
 #[test]
 fn claims_survive_a_table_that_loses_answers() {
     let kit = kit(EngineOptions::default());
