Count the members seen once a tick, not for each target

Cause: a read of the whole change found that a steward counted the live members again for every target in every tick, and set a flag that was set.

Change: the count is taken once for each pool; the dead assignment is gone.

--- a/crates/decision/src/node/pool.rs
+++ b/crates/decision/src/node/pool.rs
@@ -353,6 +353,7 @@
             .filter(|(_, m)| m.status == crate::members::Status::Dead)
             .map(|(id, _)| id.as_str())
             .collect();
+        let (alive, known) = self.members.sight();
         let targets: Vec<TargetId> = pool.slots.keys().cloned().collect();
         for target in &targets {
             let slots = pool.slots.get_mut(target).expect("ledger");
@@ -360,7 +361,6 @@
                 slots.drop_entry(id);
             }
             self.counters.lapsed += slots.expire(now) as u64;
-            let (alive, known) = self.members.sight();
             slots.set_sight(alive, known);
             pool.note_load(now, target);
         }
--- a/crates/decision/src/node/waiting.rs
+++ b/crates/decision/src/node/waiting.rs
@@ -143,7 +143,6 @@
             let mut others = others.filter(|t| self.is_candidate(pool, t, &ask));
             let next = TargetId::from(*others.next().unwrap_or(&target.as_str()));
             let steward = pool.steward(&next).cloned();
-            ask.full = true;
             ask.hops = 0;
             self.counters.moved += 1;
             match steward {
