--- a/crates/bench/src/standin/platform.rs
+++ b/crates/bench/src/standin/platform.rs
@@ -1,16 +1,15 @@
-//! Stand-in of the platform: table, object store, instance list, weight store.
+//! Stand-in of the platform's store: rows, feeds and conditional writes.
 
 use super::http;
-use decision::Listing;
-use platform::{Row, Write, Written};
+use platform::rows::{Condition, Row, Rows, Transaction};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Method, Request, Server};
 
-/// Fault switches of the platform.
+/// Fault switches of the platform's store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct PlatformFaults {
@@ -22,34 +21,46 @@
     pub slow_ms: u64,
     /// Every n-th write takes effect and its answer is lost; 0 for none.
     pub lose_every: u64,
-    /// Lag of the list of instances, in milliseconds.
-    pub list_lag_ms: u64,
+    /// Writes take effect this much after their answer was lost, in
+    /// milliseconds, if their conditions still hold.
+    pub late_ms: u64,
+    /// Every n-th call is refused with 429; 0 for none.
+    pub refuse_every: u64,
+    /// Reads show the rows as they were when this was set.
+    pub stale: bool,
 }
 
+type RowKey = (String, String, String);
+
 #[derive(Default)]
 struct State {
-    rows: BTreeMap<String, (u64, String)>,
-    objects: BTreeMap<String, Vec<u8>>,
-    instances: BTreeMap<String, Listing>,
-    listed: Vec<Listing>,
-    listed_at: Option<Instant>,
+    rows: BTreeMap<RowKey, Row>,
+    shown: Option<BTreeMap<RowKey, Row>>,
+    history: Vec<Row>,
+    dropped: u64,
+    version: u64,
     faults: PlatformFaults,
-    writes: u64,
+    calls: u64,
     reads: u64,
-    weights_at: Option<Instant>,
+    writes: u64,
 }
 
-/// Stand-in of the platform.
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// Stand-in of the platform's store.
 pub struct PlatformStandIn {
-    state: Arc<Mutex<State>>,
+    shared: Arc<Shared>,
     address: SocketAddr,
     _server: Arc<Server>,
 }
 
 /// Longest that a silent connection is held.
 const SILENCE: Duration = Duration::from_secs(30);
-/// Shortest time between two reads of the weight store.
-const WEIGHTS_INTERVAL: Duration = Duration::from_millis(200);
+/// Most rows of one answer.
+const PAGE_ROWS: usize = 500;
 
 impl PlatformStandIn {
     /// Starts the stand-in on a free port.
@@ -59,16 +70,24 @@
 
     /// Starts the stand-in at an address.
     pub fn start_at(listen: SocketAddr) -> Self {
-        let state = Arc::new(Mutex::new(State::default()));
-        let shared = state.clone();
-        let (server, address) = http::start(listen, move |request| serve(&shared, request));
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State::default()),
+            changed: Condvar::new(),
+        });
+        let serving = shared.clone();
+        let (server, address) = http::start(listen, move |request| serve(&serving, request));
         PlatformStandIn {
-            state,
+            shared,
             address,
             _server: server,
         }
     }
 
+    /// Address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Base address.
     pub fn base(&self) -> String {
         format!("http://{}", self.address)
@@ -76,31 +95,131 @@
 
     /// Sets the faults.
     pub fn set_faults(&self, faults: PlatformFaults) {
-        self.state.lock().expect("state").faults = faults;
+        self.shared.state.lock().expect("state").set_faults(faults);
     }
 
-    /// Reads and writes of the table so far.
+    /// Reads and writes so far.
     pub fn calls(&self) -> (u64, u64) {
-        let state = self.state.lock().expect("state");
+        let state = self.shared.state.lock().expect("state");
         (state.reads, state.writes)
     }
 
-    /// Value of a row.
+    /// Value of one of the project's own records.
     pub fn row(&self, key: &str) -> Option<String> {
-        let state = self.state.lock().expect("state");
-        state.rows.get(key).map(|r| r.1.clone())
+        let state = self.shared.state.lock().expect("state");
+        let key = ("records".to_owned(), String::new(), key.to_owned());
+        let value = state.rows.get(&key).map(|r| r.value.clone())?;
+        String::from_utf8(value).ok()
+    }
+
+    /// Writes a row as operators and targets do, whatever the faults.
+    pub fn put(&self, table: &str, key: &str, value: impl Into<Vec<u8>>) {
+        let mut state = self.shared.state.lock().expect("state");
+        state.version += 1;
+        let row = Row {
+            table: table.into(),
+            key: key.into(),
+            value: value.into(),
+            version: state.version,
+            ..Row::default()
+        };
+        state.set(row);
+        self.shared.changed.notify_all();
+    }
+
+    /// Removes a row as operators and targets do, whatever the faults.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.shared.state.lock().expect("state");
+        state.version += 1;
+        let row = Row {
+            table: table.into(),
+            key: key.into(),
+            version: state.version,
+            removed: true,
+            ..Row::default()
+        };
+        state.set(row);
+        self.shared.changed.notify_all();
+    }
+
+    /// Drops the history, so that feeds must begin anew.
+    pub fn drop_history(&self) {
+        let mut state = self.shared.state.lock().expect("state");
+        state.history.clear();
+        state.dropped = state.version;
+    }
+}
+
+impl State {
+    fn set_faults(&mut self, faults: PlatformFaults) {
+        self.shown = faults.stale.then(|| self.rows.clone());
+        self.faults = faults;
+    }
+
+    fn set(&mut self, row: Row) {
+        let key = row_key(&row.table, &row.part, &row.key);
+        if row.removed {
+            self.rows.remove(&key);
+        } else {
+            self.rows.insert(key, row.clone());
+        }
+        self.history.push(row);
+    }
+
+    fn found(&self, condition: &Condition) -> Option<&Row> {
+        let key = row_key(&condition.table, &condition.part, &condition.key);
+        self.rows.get(&key)
+    }
+
+    /// Applies a transaction, or returns the rows of its conditions.
+    fn apply(&mut self, transaction: &Transaction) -> Result<u64, Vec<Row>> {
+        let holds = |c: &Condition| self.found(c).map_or(0, |r| r.version) == c.version;
+        if !transaction.conditions.iter().all(holds) {
+            let conditions = transaction.conditions.iter();
+            return Err(conditions.filter_map(|c| self.found(c).cloned()).collect());
+        }
+        self.version += 1;
+        let version = self.version;
+        for put in &transaction.puts {
+            self.set(Row {
+                table: put.table.clone(),
+                part: put.part.clone(),
+                key: put.key.clone(),
+                value: put.value.clone(),
+                version,
+                removed: false,
+            });
+        }
+        for name in &transaction.removals {
+            self.set(Row {
+                table: name.table.clone(),
+                part: name.part.clone(),
+                key: name.key.clone(),
+                value: Vec::new(),
+                version,
+                removed: true,
+            });
+        }
+        Ok(version)
     }
 }
 
-fn serve(state: &Mutex<State>, mut request: Request) {
+fn row_key(table: &str, part: &str, key: &str) -> RowKey {
+    (table.to_owned(), part.to_owned(), key.to_owned())
+}
+
+fn serve(shared: &Arc<Shared>, mut request: Request) {
     let url = request.url().to_owned();
-    let faults = state.lock().expect("state").faults.clone();
     if url == "/fault" {
         if let Some(faults) = http::read_json(&mut request) {
-            state.lock().expect("state").faults = faults;
+            shared.state.lock().expect("state").set_faults(faults);
         }
         return http::json(request, 200, &true);
     }
+    let mut state = shared.state.lock().expect("state");
+    state.calls += 1;
+    let (faults, calls) = (state.faults.clone(), state.calls);
+    drop(state);
     if faults.slow_ms > 0 {
         std::thread::sleep(Duration::from_millis(faults.slow_ms));
     }
@@ -111,102 +230,146 @@
     if faults.down {
         return http::json(request, 503, &"down");
     }
-    match (request.method().clone(), url.as_str()) {
-        (Method::Post, "/table/read") => read(state, request),
-        (Method::Post, "/table/write") => write(state, request, faults.lose_every),
-        (Method::Get, "/instances") => http::json(request, 200, &list(state, faults.list_lag_ms)),
-        (Method::Post, "/instances") => {
-            if let Some(listing) = http::read_json::<Listing>(&mut request) {
-                let mut state = state.lock().expect("state");
-                state.instances.insert(listing.id.to_string(), listing);
-            }
-            http::json(request, 200, &true);
-        }
-        (Method::Get, path) if path.starts_with("/weights/") => weights(state, request),
-        (method, path) if path.starts_with("/objects/") => {
-            let key = path.trim_start_matches("/objects/").to_owned();
-            object(state, request, &method, key);
-        }
+    if faults.refuse_every > 0 && calls.is_multiple_of(faults.refuse_every) {
+        return http::json(request, 429, &"too many calls");
+    }
+    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    let query = parse_query(query);
+    match (request.method().clone(), path) {
+        (Method::Get, "/rows-get") => read(shared, request, &query),
+        (Method::Get, "/rows-feed") => feed(shared, request, &query),
+        (Method::Post, "/rows-tx") => write(shared, request, &faults),
         _ => http::json(request, 404, &"not found"),
     }
 }
 
-fn read(state: &Mutex<State>, mut request: Request) {
-    let keys: Vec<String> = http::read_json(&mut request).unwrap_or_default();
-    let mut state = state.lock().expect("state");
-    state.reads += keys.len() as u64;
-    let rows: Vec<Option<Row>> = keys.iter().map(|key| row(&state, key)).collect();
-    drop(state);
-    http::json(request, 200, &rows);
-}
+type Query = BTreeMap<String, String>;
 
-fn row(state: &State, key: &str) -> Option<Row> {
-    let (version, value) = state.rows.get(key)?;
-    Some(Row {
-        version: *version,
-        value: value.clone(),
-    })
+fn parse_query(query: &str) -> Query {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_owned(), decode(value)))
+        .collect()
 }
 
-fn write(state: &Mutex<State>, mut request: Request, lose_every: u64) {
-    let writes: Vec<Write> = http::read_json(&mut request).unwrap_or_default();
-    let mut state = state.lock().expect("state");
-    let mut results = Vec::new();
-    for write in writes {
-        let found = state.rows.get(write.key.as_str()).map_or(0, |r| r.0);
-        if found != write.expect {
-            results.push(Written::Conflict(row(&state, &write.key)));
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
             continue;
         }
-        let new = (found + 1, write.value);
-        state.rows.insert(write.key.to_string(), new);
-        results.push(Written::Ok(found + 1));
+        let digits: Vec<u8> = rest.by_ref().take(2).collect();
+        let digits = String::from_utf8_lossy(&digits).into_owned();
+        bytes.extend(u8::from_str_radix(&digits, 16).ok());
     }
-    state.writes += 1;
-    let is_lost = lose_every > 0 && state.writes.is_multiple_of(lose_every);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn text<'a>(query: &'a Query, name: &str) -> &'a str {
+    query.get(name).map_or("", String::as_str)
+}
+
+fn number(query: &Query, name: &str) -> u64 {
+    text(query, name).parse().unwrap_or(0)
+}
+
+fn read(shared: &Shared, request: Request, query: &Query) {
+    let mut state = shared.state.lock().expect("state");
+    state.reads += 1;
+    let (table, part) = (text(query, "Table"), text(query, "part"));
+    let (from, to) = (text(query, "From"), text(query, "To"));
+    let limit = match number(query, "Limit") {
+        0 => PAGE_ROWS,
+        limit => (limit as usize).min(PAGE_ROWS),
+    };
+    let rows = state.shown.as_ref().unwrap_or(&state.rows);
+    let in_range = |r: &&Row| {
+        r.table == table && r.part == part && *r.key >= *from && (to.is_empty() || *r.key < *to)
+    };
+    let mut found: Vec<Row> = rows.values().filter(in_range).cloned().collect();
+    let answer = Rows {
+        truncated: found.len() > limit,
+        rows: {
+            found.truncate(limit);
+            found
+        },
+        version: state.version,
+    };
     drop(state);
-    if is_lost {
-        return http::hang_up(request);
-    }
-    http::json(request, 200, &results);
+    http::json(request, 200, &answer);
 }
 
-fn list(state: &Mutex<State>, lag_ms: u64) -> Vec<Listing> {
-    let mut state = state.lock().expect("state");
-    let lag = Duration::from_millis(lag_ms);
-    if state.listed_at.is_none_or(|at| at.elapsed() >= lag) {
-        state.listed = state.instances.values().cloned().collect();
-        state.listed_at = Some(Instant::now());
+/// Answers as soon as the table has changed after a version.
+fn feed(shared: &Shared, request: Request, query: &Query) {
+    let (table, after) = (text(query, "Table").to_owned(), number(query, "After"));
+    let until = Instant::now() + Duration::from_millis(number(query, "WaitMs"));
+    let mut state = shared.state.lock().expect("state");
+    state.reads += 1;
+    loop {
+        if after < state.dropped {
+            drop(state);
+            return http::json(request, 410, &"the history is gone");
+        }
+        let mut seen = BTreeSet::new();
+        let newer = state.history.iter().rev();
+        let newer = newer.filter(|r| r.table == table && r.version > after);
+        let mut rows: Vec<Row> = newer
+            .filter(|r| seen.insert(r.key.clone()))
+            .cloned()
+            .collect();
+        rows.reverse();
+        let left = until.saturating_duration_since(Instant::now());
+        if !rows.is_empty() || left.is_zero() {
+            let answer = Rows {
+                rows,
+                truncated: false,
+                version: state.version,
+            };
+            drop(state);
+            return http::json(request, 200, &answer);
+        }
+        let waited = shared.changed.wait_timeout(state, left);
+        state = waited.expect("state").0;
     }
-    state.listed.clone()
 }
 
-/// The weight store allows one read at an interval.
-fn weights(state: &Mutex<State>, request: Request) {
-    let mut state = state.lock().expect("state");
-    let is_early = state
-        .weights_at
-        .is_some_and(|at| at.elapsed() < WEIGHTS_INTERVAL);
-    if is_early {
+fn write(shared: &Arc<Shared>, mut request: Request, faults: &PlatformFaults) {
+    let Some(transaction) = http::read_json::<Transaction>(&mut request) else {
+        return http::json(request, 400, &"not a transaction");
+    };
+    let mut state = shared.state.lock().expect("state");
+    state.writes += 1;
+    let is_lost = faults.lose_every > 0 && state.writes.is_multiple_of(faults.lose_every);
+    if is_lost && faults.late_ms > 0 {
         drop(state);
-        return http::json(request, 429, &"too many reads");
+        let (shared, late) = (shared.clone(), Duration::from_millis(faults.late_ms));
+        std::thread::spawn(move || {
+            std::thread::sleep(late);
+            let _ = shared.state.lock().expect("state").apply(&transaction);
+            shared.changed.notify_all();
+        });
+        return http::hang_up(request);
     }
-    state.weights_at = Some(Instant::now());
+    let applied = state.apply(&transaction);
     drop(state);
-    http::json(request, 200, &"weights");
-}
-
-fn object(state: &Mutex<State>, mut request: Request, method: &Method, key: String) {
-    if *method == Method::Put {
-        let body = http::read_bytes(&mut request);
-        state.lock().expect("state").objects.insert(key, body);
-        return http::json(request, 200, &true);
-    }
-    let found = state.lock().expect("state").objects.get(&key).cloned();
-    match found {
-        Some(body) => {
-            let _ = request.respond(Response::from_data(body));
+    shared.changed.notify_all();
+    match applied {
+        _ if is_lost => http::hang_up(request),
+        Ok(version) => {
+            let answer = Rows {
+                version,
+                ..Rows::default()
+            };
+            http::json(request, 200, &answer);
+        }
+        Err(rows) => {
+            let answer = Rows {
+                rows,
+                ..Rows::default()
+            };
+            http::json(request, 412, &answer);
         }
-        None => http::json(request, 404, &"not found"),
     }
 }
--- a/crates/briargap/src/cli.rs
+++ b/crates/briargap/src/cli.rs
@@ -153,6 +153,7 @@
 /// Parser of the whole command line.
 pub(crate) fn options() -> OptionParser<Command> {
     let settings = long("settings")
+        .env("BRIARGAP_SETTINGS")
         .help("Settings of the instance, in JSON")
         .argument::<PathBuf>("FILE");
     let serve = construct!(Command::Serve { settings })
--- a/crates/briargap/src/instance.rs
+++ b/crates/briargap/src/instance.rs
@@ -12,7 +12,7 @@
 use crate::{Error, Result};
 use decision::{Event, Listing, Node, PollTarget, TargetId};
 use peer::{Mesh, WsMesh};
-use platform::{Directory, HttpPlatform, Table};
+use platform::{BlockingStore, Directory, Table};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,12 +41,12 @@
 }
 
 impl Platform {
-    /// The platform's HTTP interface at a base address.
-    pub fn http(address: &str) -> Self {
-        let http = Arc::new(HttpPlatform::new(address));
+    /// The platform's store at an address.
+    pub fn store(address: SocketAddr) -> Self {
+        let store = Arc::new(BlockingStore::new(address));
         Platform {
-            table: http.clone(),
-            directory: http,
+            table: store.clone(),
+            directory: store,
         }
     }
 }
--- a/crates/briargap/src/orders.rs
+++ b/crates/briargap/src/orders.rs
@@ -5,7 +5,7 @@
     Claim, ClaimInput, ClaimRow, ClaimState, ClaimStep, Error, InstanceId, Outcome, Ran, RequestId,
     Result, ServiceId, Step, WorkspaceId,
 };
-use platform::{Row, Write, Written};
+use platform::{Record, StoreError, Write, Written};
 use rand::Rng;
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
@@ -220,8 +220,8 @@
             ClaimInput::Written
         }
         Ok(Ok(Written::Conflict(found))) => ClaimInput::Conflict(parse(found, version)),
-        Ok(Err(platform::Error::Refused { .. })) => ClaimInput::Down,
-        Ok(Err(platform::Error::Lost { .. })) | Err(_) => ClaimInput::Lost,
+        Ok(Err(StoreError::Refused { .. })) => ClaimInput::Down,
+        Ok(Err(_)) | Err(_) => ClaimInput::Lost,
     }
 }
 
@@ -233,7 +233,7 @@
     }
 }
 
-fn parse(row: Option<Row>, version: &mut u64) -> Option<ClaimRow> {
+fn parse(row: Option<Record>, version: &mut u64) -> Option<ClaimRow> {
     let Some(row) = row else {
         *version = 0;
         return None;
--- a/crates/briargap/src/serve.rs
+++ b/crates/briargap/src/serve.rs
@@ -12,9 +12,27 @@
 /// Exit code of a shutdown that cut off requests.
 const CUT_OFF: u8 = 5;
 
+/// Key that only settings for the operators' platform have at their top.
+const PLATFORM_KEY: &str = "listen";
+
+/// Settings of either kind.
+enum Either {
+    Own(Box<Settings>),
+    Platform(Box<gateway::Settings>),
+}
+
+fn read(path: &Path) -> Result<Either, Vec<decision::Fault>> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let value = serde_json::from_str::<serde_json::Value>(&text);
+    if value.is_ok_and(|v| v.get(PLATFORM_KEY).is_some()) {
+        return gateway::Settings::parse(&text).map(|s| Either::Platform(Box::new(s)));
+    }
+    Settings::read(path).map(|s| Either::Own(Box::new(s)))
+}
+
 /// Checks settings and prints every fault.
 pub(crate) fn check(path: &Path) -> ExitCode {
-    match Settings::read(path) {
+    match read(path) {
         Ok(_) => {
             println!("{}: no fault", path.display());
             ExitCode::SUCCESS
@@ -30,8 +48,9 @@
 
 /// Runs an instance until it is stopped.
 pub(crate) fn serve(path: &Path) -> ExitCode {
-    let settings = match Settings::read(path) {
-        Ok(settings) => settings,
+    let settings = match read(path) {
+        Ok(Either::Own(settings)) => *settings,
+        Ok(Either::Platform(settings)) => return serve_platform(path, *settings),
         Err(faults) => {
             for fault in faults {
                 eprintln!("{fault}");
@@ -56,8 +75,49 @@
     }
 }
 
+/// Runs an instance on the operators' platform, on this thread alone.
+fn serve_platform(path: &Path, settings: gateway::Settings) -> ExitCode {
+    if let Err(e) = briargap::logging::start_lines(&settings.log_level, &settings.instance) {
+        eprintln!("{e}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("start of the runtime: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let path = path.to_owned();
+    let reread = move || match gateway::Settings::read(&path) {
+        Ok(settings) => Some(settings),
+        Err(faults) => {
+            for fault in faults {
+                log::error!("settings: {fault}");
+            }
+            None
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    match local.block_on(&runtime, gateway::run(settings, reread)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn run(settings: Settings) -> ExitCode {
-    let platform = Platform::http(&settings.platform.address);
+    // Checked settings name the store's address.
+    let Some(store) = settings.platform.store() else {
+        eprintln!("platform.address: must name an IP address and a port");
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    let platform = Platform::store(store);
     let instance = match Instance::start(settings, platform).await {
         Ok(instance) => instance,
         Err(e) => {
--- a/crates/briargap/src/settings.rs
+++ b/crates/briargap/src/settings.rs
@@ -115,7 +115,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
-    /// Base address, as in `http://10.0.0.5:7000`.
+    /// Base address of the store, as in `http://10.0.0.5:7000`.
     pub address: String,
     /// Interval at which the index row and the list are read, in milliseconds.
     #[serde(rename = "poll_ms", default = "poll_time")]
@@ -123,6 +123,14 @@
     pub poll_time: Duration,
 }
 
+impl PlatformSettings {
+    /// Address of the store; `None` where the base address names no port.
+    pub fn store(&self) -> Option<SocketAddr> {
+        let address = self.address.strip_prefix("http://")?;
+        address.trim_end_matches('/').parse().ok()
+    }
+}
+
 /// Heartbeats.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -317,6 +325,11 @@
                 "is needed where peer.listen is not a loopback address",
             ),
             (has_scheme, "platform.address", "must begin with http://"),
+            (
+                !has_scheme || self.platform.store().is_some(),
+                "platform.address",
+                "must name an IP address and a port",
+            ),
             (
                 !self.platform.poll_time.is_zero(),
                 "platform.poll_ms",
--- a/crates/briargap/src/store.rs
+++ b/crates/briargap/src/store.rs
@@ -5,7 +5,7 @@
 
 use decision::{Document, Mark, ServiceId, Version, Versioned};
 use operator::Applied;
-use platform::{Error, Result, Row, Table, Write, Written};
+use platform::{Record, Result, StoreError as Error, Table, Write, Written};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
@@ -32,7 +32,7 @@
     reply: flume::Sender<Result<Written>>,
 }
 
-type ReadJob = (Vec<SmolStr>, flume::Sender<Result<Vec<Option<Row>>>>);
+type ReadJob = (Vec<SmolStr>, flume::Sender<Result<Vec<Option<Record>>>>);
 
 /// The way to the platform's table.
 #[derive(Clone)]
@@ -100,7 +100,7 @@
     }
 
     /// Queues a read.
-    pub(crate) fn read(&self, keys: Vec<SmolStr>) -> flume::Receiver<Result<Vec<Option<Row>>>> {
+    pub(crate) fn read(&self, keys: Vec<SmolStr>) -> flume::Receiver<Result<Vec<Option<Record>>>> {
         let (reply, received) = flume::bounded(1);
         let _ = self.reads.send((keys, reply));
         received
@@ -180,9 +180,9 @@
             expect: 0,
             value,
         };
-        let settled = match self.table.write(std::slice::from_ref(&write)) {
-            Ok(written) if matches!(written[0], Written::Ok(_)) => false,
-            Ok(_) | Err(Error::Lost { .. }) => {
+        let settled = match write_one(&*self.table, &write) {
+            Ok(Written::Ok(_)) => false,
+            Ok(Written::Conflict(_)) | Err(Error::Lost { .. }) => {
                 self.settle(&write, token, expect)?;
                 true
             }
@@ -218,9 +218,7 @@
                         return Err(conflict(expect, expect + 1));
                     }
                     None => {
-                        if let Ok(written) = self.table.write(std::slice::from_ref(write))
-                            && matches!(written[0], Written::Ok(_))
-                        {
+                        if let Ok(Written::Ok(_)) = write_one(&*self.table, write) {
                             return Ok(());
                         }
                     }
@@ -258,17 +256,8 @@
         let mut batch = vec![first];
         batch.extend(jobs.try_iter().take(WRITES_A_CALL - 1));
         let writes: Vec<Write> = batch.iter().map(|j| j.write.clone()).collect();
-        match table.write(&writes) {
-            Ok(results) => {
-                for (job, written) in batch.into_iter().zip(results) {
-                    let _ = job.reply.send(Ok(written));
-                }
-            }
-            Err(e) => {
-                for job in batch {
-                    let _ = job.reply.send(Err(e.clone()));
-                }
-            }
+        for (job, written) in batch.into_iter().zip(table.write(&writes)) {
+            let _ = job.reply.send(written);
         }
     }
 }
@@ -336,9 +325,9 @@
             expect: row.map_or(0, |r| r.version),
             value: serde_json::to_string(&value).unwrap_or_default(),
         };
-        match table.write(&[write]) {
-            Ok(written) if matches!(written[0], Written::Ok(_)) => return Ok(()),
-            Ok(_) => {}
+        match write_one(table, &write) {
+            Ok(Written::Ok(_)) => return Ok(()),
+            Ok(Written::Conflict(_)) => {}
             Err(e) => last = Some(e),
         }
     }
@@ -348,6 +337,16 @@
     }))
 }
 
+fn write_one(table: &dyn Table, write: &Write) -> Result<Written> {
+    let written = table.write(std::slice::from_ref(write)).pop();
+    written.unwrap_or_else(|| {
+        Err(Error::Lost {
+            step: "write records",
+            message: "no result for the write".to_owned(),
+        })
+    })
+}
+
 fn document_key(service: &str, version: Version) -> SmolStr {
     format_smolstr!("document/{service}/{version}")
 }
@@ -359,11 +358,11 @@
     })
 }
 
-fn parse_row<T: Default + for<'a> Deserialize<'a>>(row: Option<&Row>) -> Result<T> {
+fn parse_row<T: Default + for<'a> Deserialize<'a>>(row: Option<&Record>) -> Result<T> {
     row.map_or_else(|| Ok(T::default()), |r| parse(&r.value))
 }
 
-fn parse_document(row: Option<&Row>) -> Result<Option<Document>> {
+fn parse_document(row: Option<&Record>) -> Result<Option<Document>> {
     let Some(row) = row else { return Ok(None) };
     parse::<DocumentRow>(&row.value).map(|r| Some(r.document))
 }
--- /dev/null
+++ b/crates/decision/src/feed.rs
@@ -0,0 +1,155 @@
+//! A table of the store as this instance knows it, and how old that is.
+
+use crate::id::Time;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+/// A row of a table, or the mark of one that was removed.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedRow {
+    /// Key.
+    #[serde(rename = "k")]
+    pub key: SmolStr,
+    /// Version.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Value; `None` where the row is gone.
+    #[serde(rename = "b", default)]
+    #[serde_as(as = "Option<serde_with::Bytes>")]
+    pub value: Option<Vec<u8>>,
+}
+
+/// News of a table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedNews {
+    /// Version after which the rows changed; `None` where these are all rows.
+    #[serde(rename = "s", default)]
+    pub since: Option<u64>,
+    /// Version that the table then has.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Rows.
+    #[serde(rename = "r", default)]
+    pub rows: Vec<FeedRow>,
+}
+
+/// What became of news.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// It was taken; the rows that differ from before.
+    Changed(Vec<FeedRow>),
+    /// It is older than what is known.
+    Old,
+    /// Something between what is known and the news is missing.
+    Gap,
+}
+
+/// A table of the store as this instance knows it.
+///
+/// Versions never go back: news that is older than what is known changes
+/// nothing and proves nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Feed {
+    rows: BTreeMap<SmolStr, (u64, Vec<u8>)>,
+    version: Option<u64>,
+    changed: u64,
+    verified: Option<Time>,
+}
+
+impl Feed {
+    /// Version known.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Latest moment at which this was the newest version.
+    pub fn verified(&self) -> Option<Time> {
+        self.verified
+    }
+
+    /// Version of the latest change of a row. The store counts versions over
+    /// all its tables, so that [`Feed::version`] rises without any.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// Notes that `version`, whose latest change is `changed`, was the newest
+    /// at `at`; returns whether this copy holds all of it.
+    pub fn verify(&mut self, version: u64, changed: u64, at: Time) -> bool {
+        let Some(known) = self.version else {
+            return false;
+        };
+        if version < known || changed > known {
+            return false;
+        }
+        self.version = Some(version);
+        self.verified = self.verified.max(Some(at));
+        true
+    }
+
+    /// Takes news.
+    pub fn apply(&mut self, news: FeedNews) -> Applied {
+        match (self.version, news.since) {
+            (Some(known), _) if news.version < known => return Applied::Old,
+            (None, Some(_)) => return Applied::Gap,
+            (Some(known), Some(since)) if since > known => return Applied::Gap,
+            _ => {}
+        }
+        self.version = Some(news.version);
+        let mut changed = Vec::new();
+        if news.since.is_none() {
+            changed.extend(self.missing_from(&news.rows));
+        }
+        changed.extend(news.rows);
+        changed.retain(|row| self.set(row));
+        // The versions of rows that a complete list lacks are not known.
+        let latest = match news.since {
+            None => Some(news.version),
+            Some(_) => changed.iter().map(|row| row.version).max(),
+        };
+        self.changed = self.changed.max(latest.unwrap_or(0));
+        Applied::Changed(changed)
+    }
+
+    /// All rows, for an instance that knows none.
+    pub fn snapshot(&self) -> Option<FeedNews> {
+        let rows = self.rows.iter().map(|(key, (version, value))| FeedRow {
+            key: key.clone(),
+            version: *version,
+            value: Some(value.clone()),
+        });
+        Some(FeedNews {
+            since: None,
+            version: self.version?,
+            rows: rows.collect(),
+        })
+    }
+
+    fn missing_from(&self, all: &[FeedRow]) -> Vec<FeedRow> {
+        let listed: std::collections::BTreeSet<&SmolStr> = all.iter().map(|r| &r.key).collect();
+        let gone = self.rows.iter().filter(|(key, _)| !listed.contains(key));
+        gone.map(|(key, (version, _))| FeedRow {
+            key: key.clone(),
+            version: *version,
+            value: None,
+        })
+        .collect()
+    }
+
+    /// Sets a row; returns whether it changed.
+    fn set(&mut self, row: &FeedRow) -> bool {
+        match (self.rows.get(&row.key), &row.value) {
+            (Some((known, _)), _) if row.version < *known => false,
+            (Some((known, _)), Some(_)) if row.version == *known => false,
+            (_, Some(value)) => {
+                let new = (row.version, value.clone());
+                self.rows.insert(row.key.clone(), new);
+                true
+            }
+            (_, None) => self.rows.remove(&row.key).is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/fleet.rs
@@ -0,0 +1,457 @@
+//! Who is in the fleet, and how all of it loads the targets.
+//!
+//! In each failure domain the first live instance by rendezvous hashing is the
+//! domain's hub. Instances send a pulse to their hub a few times a second; hubs
+//! send pulses to each other and back to their domain. A pulse says who was
+//! heard when, how many requests are at each target, and how new the sender's
+//! copies of the store's tables are. Hubs are the fleet's readers of the store,
+//! so that its calls grow with the number of domains and not of instances. All
+//! of this is soft: an instance that hears from no hub reads for itself.
+
+use crate::hash::winner;
+use crate::id::{DomainId, Incarnation, InstanceId, TargetId, Time};
+use crate::members::Listing;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Silence after which an instance no longer counts as live: eight pulses.
+const LIVE: Duration = Duration::from_millis(2_000);
+/// Time after which an instance that is silent is forgotten; until then it
+/// keeps its share of the limits, because it may only be out of touch.
+const FORGET: Duration = Duration::from_secs(20);
+/// Age at which loads told by others are no longer counted.
+const LOADS_AGE: Duration = Duration::from_millis(1_500);
+/// Longest time for which a connection holds a pulse up, in milliseconds: a
+/// link gives up a silent connection after less.
+const LATE_MAX_MS: u64 = 3_000;
+/// Own pulses whose loads are remembered until a hub's answer.
+const PULSES: usize = 16;
+
+/// What a pulse's loads cover.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender alone.
+    #[serde(rename = "o")]
+    Own,
+    /// The sender's failure domain.
+    #[serde(rename = "d")]
+    Domain,
+    /// The whole fleet.
+    #[serde(rename = "a")]
+    All,
+}
+
+/// An instance and how long ago it was heard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Instance.
+    #[serde(rename = "i")]
+    pub listing: Listing,
+    /// Its life.
+    #[serde(rename = "n")]
+    pub incarnation: Incarnation,
+    /// Milliseconds since it was heard.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+}
+
+/// How new a copy of one of the store's tables is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedAge {
+    /// Version.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Version of the table's latest change.
+    #[serde(rename = "c")]
+    pub changed: u64,
+    /// Milliseconds since it was known to be the newest.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+}
+
+/// What one instance tells another a few times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Milliseconds on the sender's clock.
+    #[serde(rename = "t")]
+    pub at_ms: u64,
+    /// Time of the receiver's last pulse on the receiver's clock, if one came.
+    #[serde(rename = "e", default)]
+    pub echo_ms: Option<u64>,
+    /// What the loads cover.
+    #[serde(rename = "s")]
+    pub scope: Scope,
+    /// Instances, the sender included.
+    #[serde(rename = "m")]
+    pub heard: Vec<Heard>,
+    /// Requests at targets.
+    #[serde(rename = "l", default)]
+    pub loads: Vec<(TargetId, u32)>,
+    /// Copies of the store's tables, in a fixed order.
+    #[serde(rename = "f", default)]
+    pub feeds: Vec<Option<FeedAge>>,
+}
+
+/// A pulse to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Receiver.
+    pub to: InstanceId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Pulse.
+    pub pulse: Pulse,
+}
+
+/// What a pulse proves about the sender's copies of tables: each with the
+/// moment on this instance's clock at which it was still the newest.
+pub type Proof = Vec<Option<(FeedAge, Time)>>;
+
+#[derive(Clone, Debug)]
+struct Peer {
+    listing: Listing,
+    incarnation: Incarnation,
+    heard: Time,
+    /// Time of its last pulse on its own clock.
+    pulse_ms: Option<u64>,
+    /// When its last pulse came, and what its loads covered.
+    told: Option<(Time, Scope)>,
+    loads: BTreeMap<TargetId, u32>,
+    /// Estimated moments at which its copies were the newest.
+    feeds: Vec<Option<Time>>,
+}
+
+/// The fleet as one instance knows it.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    me: Listing,
+    incarnation: Incarnation,
+    peers: BTreeMap<InstanceId, Peer>,
+    /// Own loads by the time of the pulse that told them.
+    told: VecDeque<(u64, BTreeMap<TargetId, u32>)>,
+    /// Loads of the whole fleet but for this instance, and when they came.
+    others: Option<(Time, BTreeMap<TargetId, u32>)>,
+}
+
+impl Fleet {
+    /// Makes the fleet of an instance that knows only itself.
+    pub fn new(me: Listing, incarnation: Incarnation) -> Self {
+        Fleet {
+            me,
+            incarnation,
+            peers: BTreeMap::new(),
+            told: VecDeque::new(),
+            others: None,
+        }
+    }
+
+    /// Takes the list of instances; those that are new count as just heard.
+    pub fn listed(&mut self, now: Time, list: Vec<Listing>) {
+        for listing in list {
+            let is_other = listing.id != self.me.id && !listing.leaving;
+            if is_other && !self.peers.contains_key(&listing.id) {
+                self.meet(now, listing, 0);
+            }
+        }
+    }
+
+    fn meet(&mut self, heard: Time, listing: Listing, incarnation: Incarnation) {
+        let peer = Peer {
+            incarnation,
+            heard,
+            pulse_ms: None,
+            told: None,
+            loads: BTreeMap::new(),
+            feeds: Vec::new(),
+            listing,
+        };
+        self.peers.insert(peer.listing.id.clone(), peer);
+    }
+
+    /// This instance.
+    pub fn me(&self) -> &Listing {
+        &self.me
+    }
+
+    /// Address of another instance.
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.peers.get(id).map(|p| p.listing.peer)
+    }
+
+    /// Marks this instance as stopping.
+    pub fn leave(&mut self) {
+        self.me.leaving = true;
+    }
+
+    /// Notes that an instance can't be reached; it counts as silent until it
+    /// is heard again.
+    pub fn lost(&mut self, now: Time, id: &str) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.heard = peer.heard.min(now.saturating_sub(LIVE / 2));
+        }
+    }
+
+    /// Takes a pulse; returns what it proves about the sender's tables.
+    pub fn pulse(&mut self, now: Time, from: &InstanceId, pulse: Pulse) -> Proof {
+        for heard in pulse.heard {
+            self.hear(now, heard);
+        }
+        let Some(peer) = self.peers.get_mut(from) else {
+            return Proof::new();
+        };
+        // A pulse that was held up on its way is overtaken by a newer one; one
+        // that is far older comes from a new life whose clock was set back.
+        let is_late = |last: u64| pulse.at_ms < last && last - pulse.at_ms < LATE_MAX_MS;
+        if peer.pulse_ms.is_some_and(is_late) {
+            return Proof::new();
+        }
+        peer.pulse_ms = Some(pulse.at_ms);
+        peer.heard = peer.heard.max(now);
+        peer.told = Some((now, pulse.scope));
+        let age = |f: &FeedAge| Duration::from_millis(u64::from(f.age_ms));
+        let estimates = pulse.feeds.iter();
+        peer.feeds = estimates
+            .map(|f| f.as_ref().map(|f| now.saturating_sub(age(f))))
+            .collect();
+        let loads: BTreeMap<TargetId, u32> = pulse.loads.into_iter().collect();
+        if pulse.scope == Scope::All {
+            self.take_total(now, pulse.echo_ms, loads);
+        } else {
+            peer.loads = loads;
+        }
+        let Some(echo) = pulse.echo_ms.map(Duration::from_millis) else {
+            return Proof::new();
+        };
+        let feeds = pulse.feeds.iter();
+        feeds
+            .map(|f| f.as_ref().and_then(|f| Some((*f, echo.checked_sub(age(f))?))))
+            .collect()
+    }
+
+    /// Takes the fleet's loads; this instance's own, as it had told them, are
+    /// taken off.
+    fn take_total(&mut self, now: Time, echo_ms: Option<u64>, mut total: BTreeMap<TargetId, u32>) {
+        let own = self.told.iter().find(|(at, _)| Some(*at) == echo_ms);
+        if let Some((_, own)) = own {
+            for (target, load) in own {
+                if let Some(all) = total.get_mut(target) {
+                    *all = all.saturating_sub(*load);
+                }
+            }
+        }
+        self.others = Some((now, total));
+    }
+
+    fn hear(&mut self, now: Time, heard: Heard) {
+        let at = now.saturating_sub(Duration::from_millis(u64::from(heard.age_ms)));
+        let id = heard.listing.id.clone();
+        if id == self.me.id {
+            return;
+        }
+        match self.peers.get_mut(&id) {
+            Some(peer) => {
+                let is_newer = heard.incarnation > peer.incarnation;
+                if is_newer {
+                    peer.pulse_ms = None;
+                }
+                if is_newer || (heard.incarnation == peer.incarnation && at > peer.heard) {
+                    let leaving = heard.listing.leaving || (!is_newer && peer.listing.leaving);
+                    peer.listing = heard.listing;
+                    peer.listing.leaving = leaving;
+                    peer.incarnation = heard.incarnation;
+                    peer.heard = peer.heard.max(at);
+                }
+            }
+            None => self.meet(at, heard.listing, heard.incarnation),
+        }
+    }
+
+    fn is_live(peer: &Peer, now: Time) -> bool {
+        !peer.listing.leaving && now.saturating_sub(peer.heard) < LIVE
+    }
+
+    /// Live instances that take callers, this one included unless it stops.
+    pub fn live(&self, now: Time) -> Vec<&Listing> {
+        let me = Some(&self.me).filter(|me| !me.leaving);
+        let others = self.peers.values().filter(|p| Self::is_live(p, now));
+        me.into_iter().chain(others.map(|p| &p.listing)).collect()
+    }
+
+    /// Instances that share the limits, and this one's place among them.
+    pub fn share(&self, now: Time) -> (usize, usize) {
+        let known = |p: &&Peer| now.saturating_sub(p.heard) < FORGET;
+        let ids = self.peers.values().filter(known).map(|p| &p.listing.id);
+        let ids: Vec<&InstanceId> = ids.collect();
+        let before = ids.iter().filter(|id| ***id < self.me.id).count();
+        (ids.len() + 1, before)
+    }
+
+    /// Hub of a failure domain.
+    pub fn hub(&self, now: Time, domain: &str) -> Option<&Listing> {
+        let here = self.live(now).into_iter().filter(|l| l.domain == domain);
+        let here: BTreeMap<&InstanceId, &Listing> = here.map(|l| (&l.id, l)).collect();
+        let ids: Vec<&str> = here.keys().map(|id| id.as_str()).collect();
+        let id = winner(domain, ids.into_iter())?;
+        here.iter().find(|(i, _)| i.as_str() == id).map(|(_, l)| *l)
+    }
+
+    /// Whether this instance is the hub of its failure domain.
+    pub fn is_hub(&self, now: Time) -> bool {
+        let hub = self.hub(now, &self.me.domain);
+        hub.is_none_or(|hub| hub.id == self.me.id)
+    }
+
+    /// Time since any hub's pulse came, if one ever did.
+    pub fn silence(&self, now: Time) -> Option<Duration> {
+        let told = self.hub_pulses().map(|(at, _)| at).max();
+        told.map(|at| now.saturating_sub(at))
+    }
+
+    /// Estimated age of the newest copy of a table that any hub told of. It
+    /// decides when to read; it proves nothing.
+    pub fn feed_age(&self, now: Time, table: usize) -> Option<Duration> {
+        let newest = self.hub_pulses().filter_map(|(_, peer)| {
+            let at = peer.feeds.get(table)?;
+            *at
+        });
+        newest.max().map(|at| now.saturating_sub(at))
+    }
+
+    fn hub_pulses(&self) -> impl Iterator<Item = (Time, &Peer)> {
+        let told = self.peers.values().filter_map(|p| Some((p.told?, p)));
+        told.filter(|((_, scope), _)| *scope != Scope::Own)
+            .map(|((at, _), peer)| (at, peer))
+    }
+
+    /// Requests of all other instances at each target.
+    pub fn others(&self, now: Time) -> BTreeMap<TargetId, u32> {
+        if self.is_hub(now) {
+            return self.sum(now, |_| true);
+        }
+        let fresh = self.others.as_ref();
+        let fresh = fresh.filter(|(at, _)| now.saturating_sub(*at) < LOADS_AGE);
+        fresh.map(|(_, loads)| loads.clone()).unwrap_or_default()
+    }
+
+    fn sum(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> BTreeMap<TargetId, u32> {
+        let mut sum = BTreeMap::new();
+        for peer in self.peers.values().filter(|p| wanted(p)) {
+            let is_fresh = peer
+                .told
+                .is_some_and(|(at, scope)| {
+                    scope != Scope::All && now.saturating_sub(at) < LOADS_AGE
+                });
+            if !is_fresh {
+                continue;
+            }
+            for (target, load) in &peer.loads {
+                *sum.entry(target.clone()).or_insert(0) += load;
+            }
+        }
+        sum
+    }
+
+    /// Forgets instances that have been silent for long, and says what to send.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        own: &BTreeMap<TargetId, u32>,
+        feeds: &[Option<FeedAge>],
+    ) -> Vec<Outgoing> {
+        self.peers
+            .retain(|_, p| now.saturating_sub(p.heard) < FORGET);
+        let at_ms = now.as_millis() as u64;
+        self.told.push_back((at_ms, own.clone()));
+        if self.told.len() > PULSES {
+            self.told.pop_front();
+        }
+        let pulse = |scope, heard, loads: BTreeMap<TargetId, u32>| Pulse {
+            at_ms,
+            echo_ms: None,
+            scope,
+            heard,
+            loads: loads.into_iter().collect(),
+            feeds: feeds.to_vec(),
+        };
+        let mut out = Vec::new();
+        if self.is_hub(now) {
+            let domain = self.me.domain.clone();
+            let is_here = |p: &Peer| p.listing.domain == domain;
+            let domain_loads = add(self.sum(now, is_here), own);
+            let all_loads = add(self.sum(now, |_| true), own);
+            let to_hubs = pulse(Scope::Domain, self.heard(now, is_here), domain_loads);
+            let to_domain = pulse(Scope::All, self.heard(now, |_| true), all_loads);
+            for hub in self.other_hubs(now) {
+                self.send(&mut out, &hub, &to_hubs);
+            }
+            let here = self.peers.values().filter(|p| is_here(p));
+            let here = here.filter(|p| now.saturating_sub(p.heard) < LIVE);
+            let here: Vec<Listing> = here.map(|p| p.listing.clone()).collect();
+            for listing in here {
+                self.send(&mut out, &listing, &to_domain);
+            }
+        } else if let Some(hub) = self.hub(now, &self.me.domain).cloned() {
+            let own_pulse = pulse(Scope::Own, self.heard(now, |_| false), own.clone());
+            self.send(&mut out, &hub, &own_pulse);
+        }
+        out
+    }
+
+    fn send(&self, out: &mut Vec<Outgoing>, to: &Listing, pulse: &Pulse) {
+        let echo_ms = self.peers.get(&to.id).and_then(|p| p.pulse_ms);
+        out.push(Outgoing {
+            to: to.id.clone(),
+            address: to.peer,
+            pulse: Pulse {
+                echo_ms,
+                ..pulse.clone()
+            },
+        });
+    }
+
+    /// Hubs of the other failure domains.
+    pub fn other_hubs(&self, now: Time) -> Vec<Listing> {
+        let live = self.live(now);
+        let mut domains: Vec<DomainId> = live.iter().map(|l| l.domain.clone()).collect();
+        domains.sort();
+        domains.dedup();
+        let others = domains.iter().filter(|d| **d != self.me.domain);
+        others.filter_map(|d| self.hub(now, d).cloned()).collect()
+    }
+
+    /// Instances to which news of the store's tables goes on from here.
+    pub fn audience(&self, now: Time) -> Vec<Listing> {
+        if !self.is_hub(now) {
+            return Vec::new();
+        }
+        let here = self.peers.values().filter(|p| {
+            p.listing.domain == self.me.domain && now.saturating_sub(p.heard) < LIVE
+        });
+        here.map(|p| p.listing.clone()).collect()
+    }
+
+    fn heard(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Vec<Heard> {
+        let me = Heard {
+            listing: self.me.clone(),
+            incarnation: self.incarnation,
+            age_ms: 0,
+        };
+        let others = self.peers.values().filter(|p| wanted(p));
+        let others = others.filter(|p| now.saturating_sub(p.heard) < FORGET);
+        let others = others.map(|p| Heard {
+            listing: p.listing.clone(),
+            incarnation: p.incarnation,
+            age_ms: now.saturating_sub(p.heard).as_millis() as u32,
+        });
+        std::iter::once(me).chain(others).collect()
+    }
+}
+
+fn add(mut sum: BTreeMap<TargetId, u32>, own: &BTreeMap<TargetId, u32>) -> BTreeMap<TargetId, u32> {
+    for (target, load) in own {
+        *sum.entry(target.clone()).or_insert(0) += load;
+    }
+    sum
+}
--- a/crates/decision/src/hash.rs
+++ b/crates/decision/src/hash.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// Hashes parts so that no two different lists of parts share their bytes.
-pub(crate) fn hash_parts(parts: &[&[u8]]) -> u64 {
+pub fn hash_parts(parts: &[&[u8]]) -> u64 {
     let mut hasher = Xxh3::new();
     for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -24,10 +24,13 @@
 //! ```
 
 mod budget;
+mod catalog;
 mod chats;
 mod claim;
 mod document;
 mod error;
+mod feed;
+mod fleet;
 mod hash;
 mod id;
 mod loads;
@@ -39,14 +42,20 @@
 mod queue;
 mod ramp;
 mod request;
+mod router;
 mod slots;
 
 pub use budget::Budget;
+pub use catalog::{
+    CallerLimits, Catalog, KeyOwner, Repeat, Route, ServiceSpec, Stage, TargetEntry,
+};
 pub use chats::{Chats, Place};
 pub use claim::{Claim, ClaimInput, ClaimRow, ClaimState, ClaimStep};
 pub use document::{CallRule, Document, Fault, Kind, Limits, TargetSpec, Versioned, WorkspaceSpec};
 pub use error::{Error, Ran, Result, Step};
-pub use hash::{chat_id, digest, rank};
+pub use feed::{Applied, Feed, FeedNews, FeedRow};
+pub use fleet::{FeedAge, Fleet, Heard, Outgoing, Proof, Pulse, Scope};
+pub use hash::{chat_id, digest, hash_parts, rank};
 pub use id::{
     AskId, AttemptId, ChatId, Digest, DomainId, GrantId, Incarnation, InstanceId, RequestId,
     ServiceId, TargetId, Time, Version, WorkspaceId,
@@ -60,4 +69,8 @@
 pub use queue::{Queue, Waiting};
 pub use ramp::Ramp;
 pub use request::{Action, Input, Outcome, Request, RequestPlan};
+pub use router::{
+    Admission, Ending, Freshness, Lease, Need, Pick, Prompt, Refusal, RosterRow, Router,
+    RouterBounds, RouterDump,
+};
 pub use slots::{Denial, Report, Slots};
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -5,6 +5,8 @@
 
 use crate::chats::Place;
 use crate::document::Versioned;
+use crate::feed::FeedNews;
+use crate::fleet::Pulse;
 use crate::id::{
     AskId, ChatId, Digest, DomainId, GrantId, Incarnation, InstanceId, ServiceId, TargetId,
     Version, WorkspaceId,
@@ -311,6 +313,15 @@
         #[serde(rename = "l")]
         last: bool,
     },
+    /// Tells who was heard, the loads of targets and the age of tables.
+    #[serde(rename = "P")]
+    Pulse(Box<Pulse>),
+    /// News of a table of the store, by its place in the fixed order.
+    #[serde(rename = "N")]
+    News(u8, Box<FeedNews>),
+    /// Asks for all rows of a table of the store.
+    #[serde(rename = "S")]
+    NewsAsk(u8),
 }
 
 impl Message {
@@ -335,6 +346,9 @@
             Message::Pardon(_) => "pardon",
             Message::AnswerAsk { .. } => "answer_ask",
             Message::AnswerPart { .. } => "answer_part",
+            Message::Pulse(_) => "pulse",
+            Message::News(..) => "news",
+            Message::NewsAsk(_) => "news_ask",
         }
     }
 }
--- a/crates/decision/src/node/mod.rs
+++ b/crates/decision/src/node/mod.rs
@@ -300,6 +300,8 @@
                 message: ask,
             }),
             part @ Message::AnswerPart { .. } => out.push(Command::Part(part)),
+            // Instances on the operators' platform tell these; none is there.
+            Message::Pulse(_) | Message::News(..) | Message::NewsAsk(_) => {}
         }
     }
 
--- /dev/null
+++ b/crates/decision/src/router/choose.rs
@@ -0,0 +1,241 @@
+//! Choice of a target for one attempt.
+
+use super::roster::{Lease, TargetState};
+use super::{Refusal, Router};
+use crate::catalog::Stage;
+use crate::hash::rank;
+use crate::id::{ServiceId, TargetId, Time};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Share of the load multiple that is used: loads told by others are late.
+const BOUND_SHARE: f64 = 0.8;
+/// Requests above the multiple of the mean that a target may have.
+const BOUND_SLACK: f64 = 2.0;
+/// Share of a cold target's limit that all instances use together.
+const COLD_SHARE: f64 = 0.8;
+/// Prompts whose last place is remembered.
+const PLACES: usize = 2_000;
+/// Time for which a target that has just come may lack its prompts.
+const SETTLED: Duration = Duration::from_secs(20);
+
+/// Prompt of a request to a model engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// Hash of the parts that other requests share.
+    pub subject: u64,
+    /// Tokens of those parts.
+    pub tokens: u32,
+}
+
+/// What an attempt needs.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    /// Service.
+    pub service: &'a ServiceId,
+    /// Prompt, if the service's targets cache prompts.
+    pub prompt: Option<Prompt>,
+    /// Hash that spreads requests without a prompt.
+    pub hash: u64,
+    /// Targets that have been tried.
+    pub tried: &'a [TargetId],
+}
+
+/// Target of one attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Target, counted there.
+    pub lease: Lease,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Target that may cache the prompt where the chosen one doesn't.
+    pub fetch: Option<SocketAddr>,
+    /// Requests at the target, this one left out, by all instances.
+    pub load: u32,
+    /// Bound on requests at the target when it was chosen.
+    pub bound: u32,
+    /// Place of the target in the prompt's order; 0 is its home.
+    pub place: u32,
+}
+
+/// Targets at which prompts ran last, the oldest forgotten first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Places {
+    by_subject: BTreeMap<u64, TargetId>,
+    order: VecDeque<u64>,
+}
+
+impl Places {
+    fn get(&self, subject: u64) -> Option<&TargetId> {
+        self.by_subject.get(&subject)
+    }
+
+    fn set(&mut self, subject: u64, target: &TargetId) {
+        if self.by_subject.insert(subject, target.clone()).is_none() {
+            self.order.push_back(subject);
+        }
+        if self.order.len() > PLACES
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.by_subject.remove(&oldest);
+        }
+    }
+}
+
+type Candidate<'a> = (&'a TargetId, &'a TargetState);
+
+pub(super) fn choose(router: &mut Router, now: Time, need: &Need<'_>) -> Result<Pick, Refusal> {
+    let usable = usable(router, now, need);
+    if usable.is_empty() {
+        return Err(Refusal::NoTarget);
+    }
+    let bound = bound(router, &usable);
+    let found = match need.prompt {
+        Some(prompt) => by_prompt(&usable, prompt, bound),
+        None => least_loaded(&usable, need.hash).map(|id| (id, 0)),
+    };
+    let (id, place) = found.ok_or(Refusal::Full)?;
+    let id = id.clone();
+    let fetch = need
+        .prompt
+        .and_then(|p| holder(router, now, &usable, p, &id, place));
+    let state = router.roster.get(&id).ok_or(Refusal::NoTarget)?;
+    let (address, load) = (state.entry.address, state.load());
+    let lease = router.roster.lease(now, &id).ok_or(Refusal::NoTarget)?;
+    if let Some(prompt) = need.prompt {
+        router.places.set(prompt.subject, &id);
+    }
+    Ok(Pick {
+        lease,
+        address,
+        fetch,
+        load,
+        bound,
+        place,
+    })
+}
+
+/// Targets that may take the request; those set aside only if there are no
+/// others, so that a failing pool is still tried.
+fn usable<'a>(router: &'a Router, now: Time, need: &'a Need<'_>) -> Vec<Candidate<'a>> {
+    let open = |(id, state): &Candidate<'_>| {
+        state.entry.stage == Stage::Ready
+            && !router.evacuated.contains(&state.entry.domain)
+            && !need.tried.contains(id)
+            && may_warm(router, now, need.service, id, state)
+    };
+    let all: Vec<Candidate<'_>> = router
+        .roster
+        .of_service(need.service)
+        .filter(open)
+        .collect();
+    let sound = all.iter().filter(|(_, s)| !s.is_aside(now));
+    let sound: Vec<Candidate<'_>> = sound.copied().collect();
+    if sound.is_empty() { all } else { sound }
+}
+
+/// Whether a cold target bears another request from this instance.
+///
+/// The limit holds over all instances without a message between them: each
+/// sends at its share of the rate. Where there are more instances than the
+/// limit has requests, only some send to a cold target, chosen by its name.
+fn may_warm(
+    router: &Router,
+    now: Time,
+    service: &ServiceId,
+    id: &TargetId,
+    state: &TargetState,
+) -> bool {
+    let spec = router
+        .catalog
+        .as_ref()
+        .and_then(|c| c.services.get(service));
+    let rate = spec.map_or(0.0, |s| s.cold_rate);
+    if !state.is_cold(now) || rate <= 0.0 {
+        return true;
+    }
+    let bounds = &router.bounds;
+    let limit = (rate * bounds.cold_excess + bounds.cold_slack) * COLD_SHARE;
+    // A burst of one beside the steady rate: half of the limit for each.
+    let senders = (limit / 2.0).floor().max(1.0) as usize;
+    let instances = router.instances;
+    if instances > senders {
+        let turn = crate::hash::hash_parts(&[id.as_bytes()]) as usize;
+        if (router.position + turn) % instances >= senders {
+            return false;
+        }
+    }
+    let sharing = instances.min(senders) as f64;
+    let each = (limit / sharing - 1.0).min(rate / sharing).max(0.1);
+    let gap = Duration::from_secs_f64(1.0 / each);
+    state
+        .cold_sent
+        .is_none_or(|sent| now.saturating_sub(sent) >= gap)
+}
+
+/// Requests that a target may have, from the mean of the pool.
+fn bound(router: &Router, usable: &[Candidate<'_>]) -> u32 {
+    let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
+    let mean = f64::from(total + 1) / usable.len() as f64;
+    let multiple = router.bounds.load_multiple * BOUND_SHARE;
+    (mean * multiple + BOUND_SLACK).ceil() as u32
+}
+
+/// First target in the prompt's order that is below the bound, or else the
+/// least loaded.
+fn by_prompt<'a>(
+    usable: &[Candidate<'a>],
+    prompt: Prompt,
+    bound: u32,
+) -> Option<(&'a TargetId, u32)> {
+    let order = rank(prompt.subject, usable.iter().map(|(id, _)| (id.as_str(), 1)));
+    let loads: BTreeMap<&str, Candidate<'a>> =
+        usable.iter().map(|c| (c.0.as_str(), *c)).collect();
+    let below = order.iter().enumerate().find_map(|(place, id)| {
+        let (id, state) = loads.get(id)?;
+        (state.load() < bound).then_some((*id, place as u32))
+    });
+    below.or_else(|| {
+        let least = usable.iter().min_by_key(|(_, s)| s.load())?;
+        Some((least.0, usable.len() as u32))
+    })
+}
+
+fn least_loaded<'a>(usable: &[Candidate<'a>], hash: u64) -> Option<&'a TargetId> {
+    let cost = |(id, state): &Candidate<'_>| {
+        let load = f64::from(state.load()) / f64::from(state.entry.slots.max(1));
+        let tie = crate::hash::hash_parts(&[id.as_bytes(), &hash.to_le_bytes()]);
+        (load + state.failures(), tie)
+    };
+    let least = usable.iter().min_by(|a, b| {
+        let ((x, tie_x), (y, tie_y)) = (cost(a), cost(b));
+        x.total_cmp(&y).then(tie_x.cmp(&tie_y))
+    });
+    least.map(|(id, _)| *id)
+}
+
+/// Target from which the chosen one may fetch what it lacks of the prompt.
+fn holder(
+    router: &Router,
+    now: Time,
+    usable: &[Candidate<'_>],
+    prompt: Prompt,
+    chosen: &TargetId,
+    place: u32,
+) -> Option<SocketAddr> {
+    let last = router.places.get(prompt.subject);
+    if let Some(last) = last {
+        let state = router.roster.get(last).filter(|_| last != chosen)?;
+        return Some(state.entry.address);
+    }
+    let state = router.roster.get(chosen)?;
+    let is_settled = now.saturating_sub(state.since) >= SETTLED;
+    if place == 0 && is_settled {
+        return None;
+    }
+    let names = usable.iter().map(|(id, _)| id.as_str());
+    let order = rank(prompt.subject, names.map(|id| (id, 1)));
+    let other = order.into_iter().find(|id| *id != chosen.as_str())?;
+    router.roster.get(other).map(|s| s.entry.address)
+}
--- /dev/null
+++ b/crates/decision/src/router/mod.rs
@@ -0,0 +1,307 @@
+//! Where a caller's request goes: admission, choice of a target, retries.
+
+mod choose;
+mod freshness;
+mod roster;
+
+pub use choose::{Need, Pick, Prompt};
+pub use freshness::Freshness;
+pub use roster::{Ending, Lease, RosterRow};
+
+use crate::budget::Budget;
+use crate::catalog::{Catalog, Route, TargetEntry};
+use crate::id::{DomainId, ServiceId, TargetId, Time, Version, WorkspaceId};
+use roster::Roster;
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bounds that the operators set.
+#[derive(Clone, Debug)]
+pub struct RouterBounds {
+    /// Longest age of a configuration by which a key may be honoured.
+    pub key_age: Duration,
+    /// Retries allowed for each request, over all instances.
+    pub retry_ratio: f64,
+    /// Retries allowed besides, over all instances.
+    pub retry_slack: f64,
+    /// Factor on a cold target's rate that is still borne.
+    pub cold_excess: f64,
+    /// Requests a second that a cold target bears besides.
+    pub cold_slack: f64,
+    /// Multiple of the pool's mean load that no target may pass.
+    pub load_multiple: f64,
+}
+
+/// Why a request is refused. It has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    Unconfigured,
+    /// The configuration is too old to honour a key by it.
+    Stale,
+    /// No route matches.
+    NoRoute,
+    /// The key is missing or unknown.
+    BadKey,
+    /// No target of the service takes requests.
+    NoTarget,
+    /// Every target of the service is full.
+    Full,
+}
+
+impl Refusal {
+    /// Stable word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Refusal::Unconfigured => "unconfigured",
+            Refusal::Stale => "stale_configuration",
+            Refusal::NoRoute => "no_route",
+            Refusal::BadKey => "bad_key",
+            Refusal::NoTarget => "no_target",
+            Refusal::Full => "full",
+        }
+    }
+}
+
+/// A request that may be forwarded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Admission {
+    /// Its route.
+    pub route: Route,
+    /// Service chosen from the route's split.
+    pub service: ServiceId,
+    /// Workspace that holds the key.
+    pub workspace: Option<WorkspaceId>,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Version of the configuration that decided.
+    pub version: Version,
+}
+
+/// What an instance knows of configuration and targets, and decides by it.
+pub struct Router {
+    bounds: RouterBounds,
+    catalog: Option<Arc<Catalog>>,
+    freshness: Freshness,
+    evacuated: BTreeSet<DomainId>,
+    roster: Roster,
+    budgets: BTreeMap<ServiceId, Budget>,
+    places: choose::Places,
+    instances: usize,
+    position: usize,
+}
+
+impl Router {
+    /// Makes the router of an instance that knows nothing yet.
+    pub fn new(bounds: RouterBounds) -> Self {
+        Router {
+            freshness: Freshness::new(bounds.key_age),
+            bounds,
+            catalog: None,
+            evacuated: BTreeSet::new(),
+            roster: Roster::default(),
+            budgets: BTreeMap::new(),
+            places: choose::Places::default(),
+            instances: 1,
+            position: 0,
+        }
+    }
+
+    /// Puts a configuration in force; an older one than the one in force is
+    /// left out. Returns whether it was taken.
+    pub fn configure(&mut self, catalog: Catalog) -> bool {
+        let current = self.version();
+        if current.is_some_and(|v| v >= catalog.version) {
+            return false;
+        }
+        self.catalog = Some(Arc::new(catalog));
+        true
+    }
+
+    /// Version in force.
+    pub fn version(&self) -> Option<Version> {
+        self.catalog.as_ref().map(|c| c.version)
+    }
+
+    /// Configuration in force.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Age of the configuration by the latest proof that it was the newest.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
+    /// Notes that the configuration in force was the newest at `at`.
+    pub fn verified(&mut self, at: Time) {
+        self.freshness.verified(at);
+    }
+
+    /// Takes an entry of a target, or its removal.
+    pub fn target(&mut self, now: Time, id: &TargetId, entry: Option<TargetEntry>) {
+        let cold_time = entry
+            .as_ref()
+            .and_then(|e| self.catalog.as_ref()?.services.get(&e.service))
+            .map_or(Duration::ZERO, |s| s.cold_time);
+        self.roster.apply(now, id, entry, cold_time);
+    }
+
+    /// Keeps targets whose entries vanish until `until`, because the store was
+    /// away and its entries may only have lapsed.
+    pub fn hold_lapsed(&mut self, until: Time) {
+        self.roster.hold_until(until);
+    }
+
+    /// Forgets targets whose entries have not come back in time.
+    pub fn sweep(&mut self, now: Time) -> Vec<TargetId> {
+        self.roster.sweep(now)
+    }
+
+    /// Takes a failure domain out, or back in.
+    pub fn evacuate(&mut self, domain: &DomainId, out: bool) -> bool {
+        if out {
+            self.evacuated.insert(domain.clone())
+        } else {
+            self.evacuated.remove(domain)
+        }
+    }
+
+    /// Failure domains that are out.
+    pub fn evacuated(&self) -> &BTreeSet<DomainId> {
+        &self.evacuated
+    }
+
+    /// Tells how many instances share the limits, and this one's place in
+    /// their order.
+    pub fn share_of(&mut self, instances: usize, position: usize) {
+        self.instances = instances.max(1);
+        self.position = position;
+    }
+
+    /// Takes the requests that all other instances have at each target.
+    pub fn others(&mut self, loads: &BTreeMap<TargetId, u32>) {
+        self.roster.others(loads);
+    }
+
+    /// Requests of this instance at each target, those without any left out.
+    pub fn own_loads(&self) -> BTreeMap<TargetId, u32> {
+        self.roster.own()
+    }
+
+    /// Requests of this instance that are at targets.
+    pub fn in_flight(&self) -> u32 {
+        self.roster.own().values().sum()
+    }
+
+    /// Every target, for the dump.
+    pub fn targets(&self, now: Time) -> Vec<RosterRow> {
+        self.roster.rows(now)
+    }
+
+    /// Decides whether a request may be forwarded, and to which service.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is refused.
+    pub fn admit(
+        &self,
+        now: Time,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        hash: u64,
+    ) -> Result<Admission, Refusal> {
+        let catalog = self.catalog.as_ref().ok_or(Refusal::Unconfigured)?;
+        let is_fresh = self.freshness.holds(now);
+        let Some(route) = catalog.route(host, path) else {
+            return Err(if is_fresh {
+                Refusal::NoRoute
+            } else {
+                Refusal::Stale
+            });
+        };
+        let owner = match &catalog.keys {
+            Some(_) if !route.public && !is_fresh => return Err(Refusal::Stale),
+            Some(keys) if !route.public => {
+                let owner = key.and_then(|k| keys.get(k));
+                Some(owner.ok_or(Refusal::BadKey)?)
+            }
+            _ => None,
+        };
+        let service = route.service(hash).ok_or(Refusal::NoTarget)?;
+        Ok(Admission {
+            service: service.clone(),
+            workspace: owner.map(|o| o.workspace.clone()),
+            rank: owner.and_then(|o| o.rank).unwrap_or(route.rank),
+            version: catalog.version,
+            route: route.clone(),
+        })
+    }
+
+    /// Chooses a target and counts the request there until [`Router::ended`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why no target can take it.
+    pub fn choose(&mut self, now: Time, need: &Need<'_>) -> Result<Pick, Refusal> {
+        choose::choose(self, now, need)
+    }
+
+    /// Notes that an attempt at a target has ended.
+    pub fn ended(&mut self, now: Time, lease: &Lease, ending: Ending) {
+        self.roster.ended(now, lease, ending);
+    }
+
+    /// Counts a request for the retry budget of its service.
+    pub fn count(&mut self, service: &ServiceId) {
+        self.budget(service).deposit();
+    }
+
+    /// Takes a token for one retry, or returns false where none is left.
+    pub fn retry(&mut self, now: Time, service: &ServiceId) -> bool {
+        self.budget(service).withdraw(now)
+    }
+
+    /// Budget of this instance: its share of what all may use together.
+    fn budget(&mut self, service: &ServiceId) -> &mut Budget {
+        let share = self.bounds.retry_slack * RETRY_MARGIN / self.instances as f64;
+        let ratio = self.bounds.retry_ratio * RETRY_MARGIN;
+        let new = || Budget::new(ratio, 0.0, share.max(1.0));
+        self.budgets.entry(service.clone()).or_insert_with(new)
+    }
+}
+
+/// Share of the retry budget that is used, so that a restarted instance, which
+/// begins with a full one, doesn't carry the fleet past it.
+const RETRY_MARGIN: f64 = 0.7;
+
+/// Summary of a router for the dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct RouterDump {
+    /// Version in force.
+    pub version: Option<Version>,
+    /// Milliseconds since it was known to be the newest.
+    pub age_ms: Option<u64>,
+    /// Failure domains that are out.
+    pub evacuated: Vec<DomainId>,
+    /// Instances that share the limits.
+    pub instances: usize,
+    /// Targets.
+    pub targets: Vec<RosterRow>,
+}
+
+impl Router {
+    /// Summary for the dump.
+    pub fn dump(&self, now: Time) -> RouterDump {
+        RouterDump {
+            version: self.version(),
+            age_ms: self.freshness.age(now).map(|a| a.as_millis() as u64),
+            evacuated: self.evacuated.iter().cloned().collect(),
+            instances: self.instances,
+            targets: self.targets(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,146 @@
+//! One attempt at one target.
+
+use crate::Shared;
+use decision::{Ending, Lease, Pick};
+use exchange::{Driver, Failure};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use platform::requests::{self, AnswerHead, Forward};
+use std::time::Duration;
+
+/// Time to open a connection to a target: it takes about 2 ms, and a second
+/// where the first packet is lost.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// A caller's request, as it is sent to targets.
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) attempt: decision::AttemptId,
+}
+
+/// Counts a request at a target until the attempt has ended.
+pub(crate) struct Held {
+    gateway: Shared,
+    lease: Lease,
+    ending: Ending,
+}
+
+impl Held {
+    pub(crate) fn new(gateway: &Shared, lease: Lease) -> Self {
+        Held {
+            gateway: gateway.clone(),
+            lease,
+            ending: Ending::Dropped,
+        }
+    }
+
+    pub(crate) fn target(&self) -> &decision::TargetId {
+        &self.lease.target
+    }
+
+    /// Ends the attempt.
+    pub(crate) fn end(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let now = self.gateway.now();
+        let mut router = self.gateway.router.borrow_mut();
+        router.ended(now, &self.lease, self.ending);
+    }
+}
+
+/// Head of a target's answer to a live attempt.
+pub(crate) struct Opened {
+    pub(crate) answer: Response<Incoming>,
+    pub(crate) driver: Driver,
+}
+
+/// Why an attempt gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Miss {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The target is full and did not run the request.
+    Full,
+    /// Another target has the address and did not run the request.
+    Moved,
+    /// The request may have run.
+    Lost(String),
+}
+
+impl Miss {
+    /// Whether it is certain that the request did not run.
+    pub(crate) fn has_not_run(&self) -> bool {
+        !matches!(self, Miss::Lost(_))
+    }
+
+    /// Whether the request arrived at the target, which draws on the budget.
+    pub(crate) fn has_arrived(&self) -> bool {
+        !matches!(self, Miss::Unsent(_))
+    }
+
+    pub(crate) fn ending(&self) -> Ending {
+        match self {
+            Miss::Unsent(_) | Miss::Lost(_) => Ending::Broken,
+            Miss::Full => Ending::Full,
+            Miss::Moved => Ending::Moved,
+        }
+    }
+
+    pub(crate) fn word(&self) -> &'static str {
+        match self {
+            Miss::Unsent(_) => "unsent",
+            Miss::Full => "full",
+            Miss::Moved => "moved",
+            Miss::Lost(_) => "lost",
+        }
+    }
+
+    pub(crate) fn detail(&self) -> &str {
+        match self {
+            Miss::Unsent(message) | Miss::Lost(message) => message,
+            Miss::Full | Miss::Moved => "",
+        }
+    }
+}
+
+impl From<Failure> for Miss {
+    fn from(failure: Failure) -> Miss {
+        match failure {
+            Failure::Unsent { message, .. } => Miss::Unsent(message),
+            Failure::Lost(message) => Miss::Lost(message),
+        }
+    }
+}
+
+/// Sends the request to a target and waits up to `limit` for the answer's head.
+pub(crate) async fn open(
+    call: &Call,
+    pick: &Pick,
+    forward: &Forward<'_>,
+    limit: Duration,
+) -> Result<Opened, Miss> {
+    let sender = exchange::connect(pick.address, CONNECT_TIMEOUT.min(limit)).await?;
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(call.uri.clone())
+        .body(Full::new(call.body.clone()))
+        .map_err(|e| Miss::Unsent(e.to_string()))?;
+    *request.headers_mut() = requests::target_headers(&call.headers, forward);
+    let answered = tokio::time::timeout(limit, sender.send(request)).await;
+    let (answer, driver) = answered.map_err(|_| Miss::Lost("no answer in time".to_owned()))??;
+    let status = answer.status().as_u16();
+    match requests::answer_head(status, answer.headers(), &call.attempt) {
+        AnswerHead::Ran => Ok(Opened { answer, driver }),
+        AnswerHead::NotRun => Err(Miss::Full),
+        AnswerHead::Moved => Err(Miss::Moved),
+        AnswerHead::Foreign => Err(Miss::Lost("the answer is for another request".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,56 @@
+//! Metrics and the dump of an instance's state.
+
+use crate::Shared;
+use crate::forward::plain;
+use crate::relay::{Outlet, whole};
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde_json::json;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Path of the dump.
+const STATE_PATH: &str = "/state";
+
+pub(crate) fn respond(gateway: &Shared, request: &Request<Incoming>) -> Response<Outlet> {
+    match request.uri().path() {
+        METRICS_PATH => Response::new(whole(metrics(gateway).into())),
+        STATE_PATH => Response::new(whole(state(gateway).into())),
+        _ => plain(gateway, 404, "not found", None),
+    }
+}
+
+fn metrics(gateway: &Shared) -> String {
+    let now = gateway.now();
+    let router = gateway.router.borrow();
+    let age = router.freshness().age(now).map(|a| a.as_millis() as u64);
+    let gauges = [
+        ("requests_now", gateway.requests.get() as u64),
+        ("connections_now", gateway.connections.get() as u64),
+        ("at_targets_now", u64::from(router.in_flight())),
+        ("instances_live", gateway.fleet.borrow().live(now).len() as u64),
+        ("configuration_version", router.version().unwrap_or(0)),
+        ("configuration_age_ms", age.unwrap_or(u64::MAX)),
+    ];
+    let lines = gauges.map(|(name, value)| format!("briargap_{name} {value}\n"));
+    lines.concat() + &gateway.metrics.text()
+}
+
+fn state(gateway: &Shared) -> String {
+    let now = gateway.now();
+    let fleet = gateway.fleet.borrow();
+    let feeds = gateway.feed_ages();
+    let state = json!({
+        "instance": gateway.settings.borrow().instance,
+        "incarnation": gateway.incarnation,
+        "phase": format!("{:?}", gateway.phase()),
+        "requests": gateway.requests.get(),
+        "connections": gateway.connections.get(),
+        "hub": fleet.is_hub(now),
+        "live": fleet.live(now),
+        "feeds": feeds,
+        "router": gateway.router.borrow().dump(now),
+    });
+    state.to_string()
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,152 @@
+//! Pulses and news between instances.
+
+use crate::state::{Gap, TABLES};
+use crate::{Error, Result, Shared};
+use decision::{FeedNews, InstanceId, Message, Pulse};
+use peer::{Mesh as _, PeerEvent, WsMesh};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Interval of pulses: loads told by others are as old as two of them, while
+/// an engine of the operators' sizes gets a request every 100 ms.
+const PULSE: Duration = Duration::from_millis(200);
+/// Events of the mesh that wait.
+const EVENTS_WAITING: usize = 1_024;
+
+/// The way to the other instances.
+#[derive(Clone)]
+pub(crate) struct Mesh(Arc<WsMesh>);
+
+/// Starts the mesh and the pulses.
+pub(crate) async fn start(gateway: &Shared) -> Result<Mesh> {
+    let (sender, events) = flume::bounded(EVENTS_WAITING);
+    let (instance, listen) = {
+        let settings = gateway.settings.borrow();
+        (settings.instance.clone(), settings.listen.peers)
+    };
+    let mesh = WsMesh::builder(instance, gateway.incarnation, listen, sender)
+        .private_network()
+        .start()
+        .await
+        .map_err(|source| Error::Mesh { source })?;
+    let mesh = Mesh(mesh);
+    let (receiving, receiver) = (gateway.clone(), mesh.clone());
+    tokio::task::spawn_local(async move {
+        while let Ok(event) = events.recv_async().await {
+            receiver.receive(&receiving, event);
+        }
+    });
+    let (pulsing, sender) = (gateway.clone(), mesh.clone());
+    tokio::task::spawn_local(async move {
+        loop {
+            sender.pulse(&pulsing);
+            tokio::time::sleep(PULSE).await;
+        }
+    });
+    Ok(mesh)
+}
+
+impl Mesh {
+    /// Sends this instance's pulses and takes the loads of the others.
+    pub(crate) fn pulse(&self, gateway: &Shared) {
+        let now = gateway.now();
+        let own = gateway.router.borrow().own_loads();
+        let feeds = gateway.feed_ages();
+        let mut fleet = gateway.fleet.borrow_mut();
+        for outgoing in fleet.tick(now, &own, &feeds) {
+            let message = Message::Pulse(Box::new(outgoing.pulse));
+            self.0.send(&outgoing.to, outgoing.address, &message);
+        }
+        let mut router = gateway.router.borrow_mut();
+        let (instances, position) = fleet.share(now);
+        router.share_of(instances, position);
+        router.others(&fleet.others(now));
+        router.sweep(now);
+    }
+
+    fn receive(&self, gateway: &Shared, event: PeerEvent) {
+        let now = gateway.now();
+        match event {
+            PeerEvent::Lost(id) => gateway.fleet.borrow_mut().lost(now, &id),
+            PeerEvent::Message { from, message } => match message {
+                Message::Pulse(pulse) => self.pulsed(gateway, &from, *pulse),
+                Message::News(table, news) => self.told(gateway, &from, table.into(), *news),
+                Message::NewsAsk(table) => self.asked(gateway, &from, table),
+                other => log::debug!("{from} sent {}, which is not used here", other.kind()),
+            },
+        }
+    }
+
+    fn pulsed(&self, gateway: &Shared, from: &InstanceId, pulse: Pulse) {
+        let now = gateway.now();
+        let feeds = pulse.feeds.clone();
+        let proof = gateway.fleet.borrow_mut().pulse(now, from, pulse);
+        for (table, proof) in proof.into_iter().enumerate().take(TABLES.len()) {
+            if let Some((feed, at)) = proof {
+                gateway.verify(table, feed.version, feed.changed, at);
+            }
+        }
+        for (table, feed) in feeds.into_iter().enumerate().take(TABLES.len()) {
+            let known = gateway.feeds.borrow()[table].version();
+            if feed.is_some_and(|f| known.is_none_or(|k| f.changed > k)) {
+                self.send(gateway, from, &Message::NewsAsk(table as u8));
+            }
+        }
+    }
+
+    fn told(&self, gateway: &Shared, from: &InstanceId, table: usize, news: FeedNews) {
+        if table >= TABLES.len() {
+            return;
+        }
+        match gateway.apply(table, news) {
+            Ok(Some(news)) => self.pass_on(gateway, table, &news),
+            Ok(None) => {}
+            Err(Gap) => self.send(gateway, from, &Message::NewsAsk(table as u8)),
+        }
+    }
+
+    fn asked(&self, gateway: &Shared, from: &InstanceId, table: u8) {
+        let snapshot = gateway
+            .feeds
+            .borrow()
+            .get(usize::from(table))
+            .and_then(decision::Feed::snapshot);
+        if let Some(news) = snapshot {
+            self.send(gateway, from, &Message::News(table, Box::new(news)));
+        }
+    }
+
+    /// Tells news that this instance has read: to its domain if it is the hub,
+    /// and to the other hubs.
+    pub(crate) fn tell_news(&self, gateway: &Shared, table: usize, news: &FeedNews) {
+        self.pass_on(gateway, table, news);
+        let now = gateway.now();
+        let fleet = gateway.fleet.borrow();
+        if fleet.is_hub(now) {
+            let message = Message::News(table as u8, Box::new(news.clone()));
+            for hub in fleet.other_hubs(now) {
+                self.0.send(&hub.id, hub.peer, &message);
+            }
+        }
+    }
+
+    /// Passes news on to the domain, if this instance is its hub.
+    fn pass_on(&self, gateway: &Shared, table: usize, news: &FeedNews) {
+        let message = Message::News(table as u8, Box::new(news.clone()));
+        for listing in gateway.fleet.borrow().audience(gateway.now()) {
+            self.0.send(&listing.id, listing.peer, &message);
+        }
+    }
+
+    fn send(&self, gateway: &Shared, to: &InstanceId, message: &Message) {
+        let address = gateway.fleet.borrow().address(to);
+        if let Some(address) = address {
+            self.0.send(to, address, message);
+        }
+    }
+
+    /// Bytes and messages by kind.
+    pub(crate) fn traffic(&self) -> peer::Traffic {
+        self.0.traffic()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,405 @@
+//! A caller's request from its head to the answer.
+
+use crate::Shared;
+use crate::attempt::{self, Call, Held, Miss, Opened};
+use crate::relay::{self, Outlet};
+use decision::{Admission, Ending, Need, Pick, Refusal, Repeat, TargetId, Time, hash_parts};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response, StatusCode, header};
+use platform::requests::{self, CallerHead, Forward};
+use rand::Rng;
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// Most bytes of an answer that is not a stream.
+const ANSWER_MAX: usize = 8 << 20;
+/// Time for which an idempotent request waits for its first target, as a
+/// multiple of the route's goal, while another target may yet answer in time.
+const PATIENCE: f64 = 1.3;
+/// Time for which a stream that may go on elsewhere waits for its first event,
+/// as a multiple of the route's goal.
+const STREAM_PATIENCE: f64 = 3.0;
+/// Shortest time that is worth another attempt.
+const ATTEMPT_MIN: Duration = Duration::from_millis(30);
+/// Seconds after which a caller may come back: shortest and longest, spread so
+/// that those refused together don't return together.
+const RETRY_AFTER: std::ops::Range<f64> = 0.15..0.5;
+
+/// A request on its way.
+pub(crate) struct Journey {
+    pub(crate) gateway: Shared,
+    pub(crate) call: Call,
+    pub(crate) head: CallerHead,
+    pub(crate) admission: Admission,
+    pub(crate) arrived: Time,
+    /// Time at which the caller or the route gives up.
+    pub(crate) deadline: Time,
+    pub(crate) tried: Vec<TargetId>,
+    /// Attempts that may have run.
+    pub(crate) runs: u32,
+    hash: u64,
+}
+
+/// Serves one request of a caller.
+pub(crate) async fn serve(gateway: &Shared, request: Request<Incoming>) -> Response<Outlet> {
+    let arrived = gateway.now();
+    let _counted = Counted::new(gateway);
+    let (parts, body) = request.into_parts();
+    let head = match requests::caller_head(&parts) {
+        Ok(head) => head,
+        Err(message) => return plain(gateway, 400, message, None),
+    };
+    let body = match read_body(gateway, body).await {
+        Ok(body) => body,
+        Err((status, message)) => return plain(gateway, status, message, None),
+    };
+    let hash = hash_parts(&[head.attempt.as_bytes()]);
+    let now = gateway.now();
+    let admitted = {
+        let router = gateway.router.borrow();
+        let key = head.key.as_deref();
+        router.admit(now, &head.host, parts.uri.path(), key, hash)
+    };
+    let admission = match admitted {
+        Ok(admission) => admission,
+        Err(refusal) => return refused(gateway, &head, refusal, None),
+    };
+    let timeout = admission.route.timeout;
+    let wait = head.wait.map_or(timeout, |w| w.min(timeout));
+    let journey = Journey {
+        gateway: gateway.clone(),
+        call: Call {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            attempt: head.attempt.clone(),
+        },
+        head,
+        admission,
+        arrived,
+        deadline: arrived + wait,
+        tried: Vec::new(),
+        runs: 0,
+        hash,
+    };
+    journey.run().await
+}
+
+/// Counts a request for as long as it is served.
+pub(crate) struct Counted(Shared);
+
+impl Counted {
+    pub(crate) fn new(gateway: &Shared) -> Self {
+        gateway.requests.set(gateway.requests.get() + 1);
+        Counted(gateway.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get().saturating_sub(1));
+    }
+}
+
+async fn read_body(gateway: &Shared, body: Incoming) -> Result<Bytes, (u16, &'static str)> {
+    use hyper::body::Body;
+    let limits = gateway.router.borrow().catalog().map(|c| c.limits);
+    let most = limits.unwrap_or_default().body_bytes;
+    if body.size_hint().lower() > most as u64 {
+        return Err((413, "the body is too large"));
+    }
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => {
+            Err((413, "the body is too large"))
+        }
+        Err(_) => Err((400, "the body ended early")),
+    }
+}
+
+impl Journey {
+    async fn run(mut self) -> Response<Outlet> {
+        let service = self.admission.service.clone();
+        self.gateway.router.borrow_mut().count(&service);
+        loop {
+            let (pick, held) = match self.choose() {
+                Ok(chosen) => chosen,
+                Err(refusal) => return self.give_up(refusal.word(), Some(refusal)),
+            };
+            let opened = self.open(&pick).await;
+            let missed = match opened {
+                Ok(opened) if self.is_stream(&opened) => {
+                    match relay::begin(self, opened, held).await {
+                        Ok(response) => return response,
+                        Err((journey, miss)) => {
+                            self = *journey;
+                            miss
+                        }
+                    }
+                }
+                Ok(opened) => match self.whole(opened, held).await {
+                    Ok(response) => return response,
+                    Err(miss) => miss,
+                },
+                Err(miss) => {
+                    held.end(miss.ending());
+                    miss
+                }
+            };
+            if let Some(response) = self.missed(&pick, &missed) {
+                return response;
+            }
+        }
+    }
+
+    /// Chooses a target and counts the request there.
+    pub(crate) fn choose(&mut self) -> Result<(Pick, Held), Refusal> {
+        let need = Need {
+            service: &self.admission.service,
+            prompt: self.head.prompt.filter(|_| self.admission.route.prompts),
+            hash: self.hash,
+            tried: &self.tried,
+        };
+        let now = self.gateway.now();
+        let pick = self.gateway.router.borrow_mut().choose(now, &need)?;
+        let held = Held::new(&self.gateway, pick.lease.clone());
+        Ok((pick, held))
+    }
+
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_sub(self.gateway.now())
+    }
+
+    /// Sends the request to a target and waits for the answer's head.
+    async fn open(&self, pick: &Pick) -> Result<Opened, Miss> {
+        let limit = self.patience();
+        self.open_after(pick, self.head.last_event, limit).await
+    }
+
+    pub(crate) async fn open_after(
+        &self,
+        pick: &Pick,
+        after: Option<u64>,
+        limit: Duration,
+    ) -> Result<Opened, Miss> {
+        let prompts = self.admission.route.prompts;
+        let forward = Forward {
+            target: &pick.lease.target,
+            workspace: self.admission.workspace.as_deref(),
+            left: Some(self.left()),
+            rank: prompts.then_some(self.admission.rank),
+            fetch: pick.fetch,
+            after,
+        };
+        attempt::open(&self.call, pick, &forward, limit).await
+    }
+
+    /// Time for which this attempt may go without an answer.
+    pub(crate) fn patience(&self) -> Duration {
+        let route = &self.admission.route;
+        let left = self.left();
+        let may_repeat = route.repeat.is_repeatable() && self.runs + 1 < route.attempts;
+        let patience = match route.repeat {
+            _ if !may_repeat => return left,
+            Repeat::Idempotent => route.goal.mul_f64(PATIENCE),
+            _ => route.goal.mul_f64(STREAM_PATIENCE),
+        };
+        // The next attempt needs as long again.
+        if patience * 2 > left { left } else { patience }
+    }
+
+    fn is_stream(&self, opened: &Opened) -> bool {
+        self.admission.route.repeat.is_stream() && opened.answer.status().is_success()
+    }
+
+    /// Collects a whole answer; a failure that another target may not have is
+    /// a miss.
+    async fn whole(&mut self, opened: Opened, held: Held) -> Result<Response<Outlet>, Miss> {
+        let Opened { answer, driver } = opened;
+        let (parts, body) = answer.into_parts();
+        let collected = exchange::collect(body, ANSWER_MAX);
+        let collected = tokio::time::timeout(self.left(), collected).await;
+        drop(driver);
+        let body = match collected {
+            Ok(Ok(body)) => body,
+            Ok(Err(e)) => {
+                held.end(Ending::Broken);
+                return Err(e.into());
+            }
+            Err(_) => {
+                held.end(Ending::Broken);
+                return Err(Miss::Lost("the answer was not whole in time".to_owned()));
+            }
+        };
+        let status = parts.status;
+        let target = held.target().clone();
+        held.end(if status.is_server_error() {
+            Ending::Failed
+        } else {
+            Ending::Whole
+        });
+        let route = &self.admission.route;
+        let may_repeat = route.repeat.is_repeatable() && self.runs + 1 < route.attempts;
+        let is_early = self.left() > ATTEMPT_MIN;
+        if status.is_server_error() && may_repeat && is_early && self.take_retry() {
+            self.runs += 1;
+            self.tried.push(target);
+            self.gateway.metrics.count("retries", "failed");
+            // The token has been taken; the next attempt is paid for.
+            let (pick, held) = match self.choose() {
+                Ok(chosen) => chosen,
+                Err(_) => return Ok(self.answer(&parts, body, "failed")),
+            };
+            let opened = self.open(&pick).await;
+            return match opened {
+                Ok(opened) => Box::pin(self.whole(opened, held)).await,
+                Err(miss) => {
+                    held.end(miss.ending());
+                    Ok(self.answer(&parts, body, "failed"))
+                }
+            };
+        }
+        let word = if status.is_success() { "whole" } else { "failed" };
+        Ok(self.answer(&parts, body, word))
+    }
+
+    fn answer(
+        &self,
+        parts: &hyper::http::response::Parts,
+        body: Bytes,
+        word: &'static str,
+    ) -> Response<Outlet> {
+        self.finished(word, parts.status.as_u16(), Value::Null);
+        let mut response = Response::new(relay::whole(body));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = requests::end_to_end(&parts.headers);
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+        response
+    }
+
+    /// Decides what follows a miss: `None` for another attempt.
+    fn missed(&mut self, pick: &Pick, miss: &Miss) -> Option<Response<Outlet>> {
+        self.gateway.metrics.count("misses", miss.word());
+        self.tried.push(pick.lease.target.clone());
+        if !miss.has_not_run() {
+            self.runs += 1;
+        }
+        let route = &self.admission.route;
+        let may_repeat =
+            self.runs == 0 || (route.repeat.is_repeatable() && self.runs < route.attempts);
+        let is_early = self.left() > ATTEMPT_MIN;
+        if may_repeat && is_early && (!miss.has_arrived() || self.take_retry()) {
+            self.gateway.metrics.count("retries", miss.word());
+            return None;
+        }
+        let full = miss.has_not_run().then_some(Refusal::Full);
+        let word = format!("{}: {}", miss.word(), miss.detail());
+        Some(self.give_up(&word, full))
+    }
+
+    pub(crate) fn take_retry(&self) -> bool {
+        let now = self.gateway.now();
+        let mut router = self.gateway.router.borrow_mut();
+        router.retry(now, &self.admission.service)
+    }
+
+    /// Final answer of this system's own: a promise that nothing ran only if
+    /// nothing can have run.
+    fn give_up(&self, reason: &str, refusal: Option<Refusal>) -> Response<Outlet> {
+        let is_late = self.left() <= ATTEMPT_MIN;
+        let status = match refusal {
+            Some(_) if self.runs == 0 => 503,
+            _ if is_late => 504,
+            _ => 502,
+        };
+        let wait = (status == 503).then(retry_after);
+        self.finished("refused", status, json!(reason));
+        plain(&self.gateway, status, reason, wait)
+    }
+
+    /// Logs and counts the end of the request.
+    pub(crate) fn finished(&self, outcome: &'static str, status: u16, reason: Value) {
+        let gateway = &self.gateway;
+        let took = gateway.now().saturating_sub(self.arrived);
+        gateway.metrics.count("requests", outcome);
+        gateway.metrics.time("request", took);
+        let failed = status >= 500;
+        gateway.record.request(failed, || {
+            let router = gateway.router.borrow();
+            let age = router.freshness().age(gateway.now());
+            json!({
+                "event": "request", "id": self.head.attempt, "route": self.admission.route.name,
+                "service": self.admission.service, "workspace": self.admission.workspace,
+                "configuration": self.admission.version,
+                "configuration_age_ms": age.map(|a| a.as_millis() as u64),
+                "targets": self.tried, "runs": self.runs,
+                "outcome": outcome, "status": status, "reason": reason,
+                "took_ms": took.as_millis() as u64,
+            })
+        });
+    }
+}
+
+fn retry_after() -> f64 {
+    rand::rng().random_range(RETRY_AFTER)
+}
+
+fn refused(
+    gateway: &Shared,
+    head: &CallerHead,
+    refusal: Refusal,
+    reason: Option<&str>,
+) -> Response<Outlet> {
+    let status = requests::refusal_status(refusal);
+    gateway.metrics.count("requests", refusal.word());
+    gateway.record.request(true, || {
+        let router = gateway.router.borrow();
+        let age = router.freshness().age(gateway.now());
+        json!({
+            "event": "request", "id": head.attempt, "host": head.host,
+            "configuration": router.version(),
+            "configuration_age_ms": age.map(|a| a.as_millis() as u64),
+            "outcome": refusal.word(), "status": status, "reason": reason,
+        })
+    });
+    let wait = (status == 503).then(retry_after);
+    plain(gateway, status, refusal.word(), wait)
+}
+
+/// An answer of this system's own.
+pub(crate) fn plain(
+    gateway: &Shared,
+    status: u16,
+    message: &str,
+    retry_after: Option<f64>,
+) -> Response<Outlet> {
+    gateway.metrics.count("own_answers", status_word(status));
+    let body = json!({ "error": message }).to_string();
+    let mut response = Response::new(relay::whole(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    let json_type = header::HeaderValue::from_static("application/json");
+    headers.insert(header::CONTENT_TYPE, json_type);
+    if let Some(wait) = retry_after
+        && let Ok(value) = header::HeaderValue::try_from(format!("{wait:.2}"))
+    {
+        headers.insert(header::RETRY_AFTER, value);
+    }
+    response
+}
+
+fn status_word(status: u16) -> &'static str {
+    match status {
+        400 => "400",
+        401 => "401",
+        404 => "404",
+        413 => "413",
+        502 => "502",
+        503 => "503",
+        504 => "504",
+        _ => "other",
+    }
+}
+
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,54 @@
+//! Counters and latencies, as text on the metrics address.
+
+use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Longest latency that is told apart, in milliseconds.
+const LATENCY_MAX_MS: u64 = 60_000;
+/// Quantiles that are served.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
+
+/// Counters and latencies of one instance.
+#[derive(Debug, Default)]
+pub(crate) struct Metrics {
+    counters: RefCell<BTreeMap<&'static str, BTreeMap<&'static str, u64>>>,
+    latencies: RefCell<BTreeMap<&'static str, Histogram<u32>>>,
+}
+
+impl Metrics {
+    /// Counts one event of a kind.
+    pub(crate) fn count(&self, name: &'static str, kind: &'static str) {
+        let mut counters = self.counters.borrow_mut();
+        *counters.entry(name).or_default().entry(kind).or_default() += 1;
+    }
+
+    /// Notes how long something took.
+    pub(crate) fn time(&self, name: &'static str, took: Duration) {
+        let mut latencies = self.latencies.borrow_mut();
+        let histogram = latencies.entry(name).or_insert_with(|| {
+            Histogram::new_with_bounds(1, LATENCY_MAX_MS, 1).expect("constant bounds are valid")
+        });
+        histogram.saturating_record((took.as_millis() as u64).max(1));
+    }
+
+    /// All metrics as text, one a line.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        for (name, kinds) in self.counters.borrow().iter() {
+            for (kind, count) in kinds {
+                let _ = writeln!(text, "briargap_{name}{{kind=\"{kind}\"}} {count}");
+            }
+        }
+        for (name, histogram) in self.latencies.borrow().iter() {
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(text, "briargap_{name}_ms{{quantile=\"{quantile}\"}} {value}");
+            }
+            let _ = writeln!(text, "briargap_{name}_ms_count {}", histogram.len());
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,233 @@
+//! What the tasks of one instance share.
+
+use crate::Shared;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::record::Record;
+use crate::settings::Settings;
+use decision::{
+    Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, Listing, Router, RouterBounds, TargetId, Time,
+};
+use platform::StoreClient;
+use platform::documents::{self, OperatorRow};
+use platform::rows::{self, Row};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Tables that all instances follow, in the order of news and pulses.
+pub(crate) const TABLES: [&str; 2] = [rows::OPERATORS, rows::TARGETS];
+/// Place of the operators' table.
+pub(crate) const OPERATORS: usize = 0;
+/// Place of the targets' table.
+pub(crate) const TARGETS: usize = 1;
+
+/// Time after which a call to the store counts as lost: the store answers in
+/// 4 ms, and in 240 ms when it is slow.
+const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Outage of the store after which entries may have lapsed.
+const OUTAGE: Duration = Duration::from_millis(2_000);
+/// Time for which lapsed entries may come back after an outage.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// How far an instance is with stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// It serves.
+    Serving,
+    /// It is out of the directory and still serves whoever comes.
+    Leaving,
+    /// It closes connections that have no request.
+    Closing,
+}
+
+/// What the tasks of one instance share.
+pub(crate) struct Gateway {
+    pub(crate) settings: RefCell<Settings>,
+    pub(crate) clock: Clock,
+    pub(crate) router: RefCell<Router>,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) feeds: RefCell<[Feed; 2]>,
+    pub(crate) store: StoreClient,
+    pub(crate) metrics: Metrics,
+    pub(crate) record: Record,
+    pub(crate) phase: tokio::sync::watch::Sender<Phase>,
+    /// Requests that are being served.
+    pub(crate) requests: Cell<usize>,
+    /// Open connections of callers.
+    pub(crate) connections: Cell<usize>,
+    pub(crate) incarnation: u64,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: Settings) -> Shared {
+        let bounds = RouterBounds {
+            key_age: settings.bounds.key_age,
+            retry_ratio: settings.bounds.retry_ratio,
+            retry_slack: settings.bounds.retry_slack,
+            cold_excess: settings.bounds.cold_excess,
+            cold_slack: settings.bounds.cold_slack,
+            load_multiple: settings.bounds.load_multiple,
+        };
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let incarnation = since_epoch.map_or(1, |t| t.as_millis() as u64);
+        let listing = Listing {
+            id: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            caller: settings.listen.callers,
+            peer: settings.listen.peers,
+            leaving: false,
+        };
+        Rc::new(Gateway {
+            clock: Clock::start(),
+            router: RefCell::new(Router::new(bounds)),
+            fleet: RefCell::new(Fleet::new(listing, incarnation)),
+            feeds: RefCell::default(),
+            store: StoreClient::new(settings.store.address, STORE_TIMEOUT),
+            metrics: Metrics::default(),
+            record: Record::new(),
+            phase: tokio::sync::watch::Sender::new(Phase::Serving),
+            requests: Cell::new(0),
+            connections: Cell::new(0),
+            incarnation,
+            settings: RefCell::new(settings),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let router = self.router.borrow();
+        self.phase() == Phase::Serving
+            && router.version().is_some()
+            && router.freshness().holds(self.now())
+    }
+
+    /// How new this instance's copies of the tables are.
+    pub(crate) fn feed_ages(&self) -> Vec<Option<FeedAge>> {
+        let now = self.now();
+        let age = |feed: &Feed| {
+            let age = now.saturating_sub(feed.verified()?);
+            Some(FeedAge {
+                version: feed.version()?,
+                changed: feed.changed(),
+                age_ms: age.as_millis() as u32,
+            })
+        };
+        self.feeds.borrow().iter().map(age).collect()
+    }
+
+    /// Notes that a version of a table, whose latest change is `changed`, was
+    /// the newest at `at`; returns whether all of it is known here.
+    pub(crate) fn verify(&self, table: usize, version: u64, changed: u64, at: Time) -> bool {
+        let known = {
+            let mut feeds = self.feeds.borrow_mut();
+            let before = feeds[table].verified();
+            if table == TARGETS && before.is_some_and(|b| at.saturating_sub(b) > OUTAGE) {
+                let until = self.now() + LAPSE_GRACE;
+                self.router.borrow_mut().hold_lapsed(until);
+            }
+            feeds[table].verify(version, changed, at)
+        };
+        if known && table == OPERATORS {
+            self.router.borrow_mut().verified(at);
+        }
+        known
+    }
+
+    /// Takes news of a table; returns the news to pass on, or `None` where
+    /// nothing changed. A gap is returned as an error.
+    pub(crate) fn apply(&self, table: usize, news: FeedNews) -> Result<Option<FeedNews>, Gap> {
+        let version = news.version;
+        let (before, applied) = {
+            let mut feeds = self.feeds.borrow_mut();
+            (feeds[table].version(), feeds[table].apply(news))
+        };
+        let changed = match applied {
+            Applied::Changed(changed) => changed,
+            Applied::Old => return Ok(None),
+            Applied::Gap => return Err(Gap),
+        };
+        for row in &changed {
+            self.change(table, row);
+        }
+        // Whoever knows nothing yet asks for all rows.
+        let since = before.filter(|_| !changed.is_empty());
+        Ok(since.map(|since| FeedNews {
+            since: Some(since),
+            version,
+            rows: changed,
+        }))
+    }
+
+    fn change(&self, table: usize, change: &FeedRow) {
+        let row = Row {
+            table: TABLES[table].into(),
+            key: change.key.clone(),
+            value: change.value.clone().unwrap_or_default(),
+            version: change.version,
+            removed: change.value.is_none(),
+            ..Row::default()
+        };
+        if table == TARGETS {
+            self.target_changed(&row);
+        } else {
+            self.operators_changed(&row);
+        }
+    }
+
+    fn operators_changed(&self, row: &Row) {
+        match documents::operator_row(row) {
+            Ok(OperatorRow::Configuration(catalog)) => {
+                let (version, routes) = (catalog.version, catalog.route_count());
+                let is_new = self.router.borrow_mut().configure(*catalog);
+                self.metrics.count("configurations", if is_new { "taken" } else { "old" });
+                self.record.belief(&json!({
+                    "event": "configuration", "version": version, "routes": routes,
+                    "row": row.version, "taken": is_new,
+                }));
+            }
+            Ok(OperatorRow::Evacuation { domain, out }) => {
+                self.router.borrow_mut().evacuate(&domain, out);
+                self.record.belief(&json!({
+                    "event": "failure domain", "domain": domain, "out": out, "row": row.version,
+                }));
+            }
+            Ok(OperatorRow::Unknown) => {}
+            Err(e) => {
+                self.metrics.count("unreadable_rows", "operators");
+                self.record.belief(&json!({
+                    "event": "unreadable configuration", "row": row.version, "error": e.to_string(),
+                }));
+            }
+        }
+    }
+
+    fn target_changed(&self, row: &Row) {
+        let id: TargetId = row.key.clone();
+        let entry = (!row.removed).then(|| documents::target_row(row)).flatten();
+        if entry.is_none() && !row.removed {
+            self.metrics.count("unreadable_rows", "targets");
+        }
+        self.record.belief(&json!({
+            "event": "target", "target": id, "row": row.version, "removed": row.removed,
+            "state": entry.as_ref().map(|e| e.stage),
+            "address": entry.as_ref().map(|e| e.address),
+            "cold_ms": entry.as_ref().map(|e| e.cold_left.as_millis() as u64),
+        }));
+        let now = self.now();
+        self.router.borrow_mut().target(now, &id, entry);
+    }
+}
+
+/// Something between what is known and the news is missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Gap;
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,242 @@
+//! Following the store's tables.
+
+use crate::Shared;
+use crate::fleet::Mesh;
+use crate::state::{Gap, Phase, TABLES};
+use decision::{FeedNews, FeedRow, Time};
+use platform::rows::{INSTANCES, Row, Rows, RowName, Transaction};
+use platform::{StoreError, put};
+use rand::Rng;
+use serde_json::json;
+use std::time::Duration;
+
+/// Longest wait of one call for changes: with a pulse and an answer on top, an
+/// instance's copy stays younger than [`OLD`].
+const FEED_WAIT: Duration = Duration::from_millis(1_000);
+/// Estimated age of a hub's copy at which an instance reads for itself; the
+/// operators' tightest bound on a change is 2 s.
+const OLD: Duration = Duration::from_millis(1_500);
+/// Silence of the hubs at which an instance reads for itself: four pulses.
+const SILENT: Duration = Duration::from_millis(800);
+/// Interval at which an instance that doesn't read looks whether it must.
+const LOOK: Duration = Duration::from_millis(100);
+/// Shortest and longest pause after a call that failed.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1_200));
+/// Interval at which hubs read the list of instances.
+const LIST_INTERVAL: Duration = Duration::from_secs(8);
+/// Difference after which the store's clock counts as set anew.
+const CLOCK_RESET: Duration = Duration::from_secs(60);
+
+/// Starts the tasks that follow the tables.
+pub(crate) fn start(gateway: &Shared, mesh: &Mesh) {
+    for table in 0..TABLES.len() {
+        let (gateway, mesh) = (gateway.clone(), mesh.clone());
+        tokio::task::spawn_local(async move { Follower::new(gateway, mesh, table).run().await });
+    }
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(async move { keep_listed(&gateway).await });
+}
+
+struct Follower {
+    gateway: Shared,
+    mesh: Mesh,
+    table: usize,
+    pause: Duration,
+    is_lost: bool,
+    /// Lower bound of the store's clock ahead of this instance's.
+    ahead: Option<f64>,
+}
+
+impl Follower {
+    fn new(gateway: Shared, mesh: Mesh, table: usize) -> Self {
+        Follower {
+            gateway,
+            mesh,
+            table,
+            pause: PAUSE.0,
+            is_lost: false,
+            ahead: None,
+        }
+    }
+
+    async fn run(&mut self) {
+        loop {
+            if !self.must_read() {
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+            match self.read().await {
+                Ok(()) => self.answered(),
+                Err(e) => self.failed(&e).await,
+            }
+        }
+    }
+
+    /// Hubs read; others only while no hub has new copies.
+    fn must_read(&self) -> bool {
+        let now = self.gateway.now();
+        let fleet = self.gateway.fleet.borrow();
+        let is_unknown = self.gateway.feeds.borrow()[self.table].version().is_none();
+        let is_silent = fleet.silence(now).is_none_or(|s| s > SILENT);
+        let is_old = fleet.feed_age(now, self.table).is_none_or(|a| a > OLD);
+        is_unknown || is_silent || is_old || fleet.is_hub(now)
+    }
+
+    async fn read(&mut self) -> platform::Result<()> {
+        let version = self.gateway.feeds.borrow()[self.table].version();
+        let table = TABLES[self.table];
+        let start = self.gateway.now();
+        let read = match version {
+            Some(after) => self.gateway.store.feed(table, after, self.wait()).await,
+            None => self.gateway.store.read(table, "", "").await,
+        };
+        self.gateway.metrics.count("store_calls", table);
+        let (since, rows) = match read {
+            Ok(rows) => (version, rows),
+            Err(StoreError::HistoryGone { .. }) => {
+                self.gateway.record.belief(&json!({
+                    "event": "history of the store is gone", "table": table, "after": version,
+                }));
+                let rows = self.gateway.store.read(table, "", "").await?;
+                self.gateway.metrics.count("store_calls", table);
+                (None, rows)
+            }
+            Err(e) => return Err(e),
+        };
+        self.take(start, since, rows);
+        Ok(())
+    }
+
+    /// An instance that reads for want of a hub's news asks for what is there.
+    fn wait(&self) -> Duration {
+        let now = self.gateway.now();
+        if self.gateway.fleet.borrow().is_hub(now) {
+            FEED_WAIT
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    fn take(&mut self, start: Time, since: Option<u64>, rows: Rows) {
+        let shown_at = self.shown_at(start, rows.now_ms);
+        let version = rows.version;
+        let news = FeedNews {
+            since,
+            version,
+            rows: rows.rows.into_iter().map(feed_row).collect(),
+        };
+        match self.gateway.apply(self.table, news) {
+            Ok(Some(news)) => self.mesh.tell_news(&self.gateway, self.table, &news),
+            Ok(None) => {}
+            // The feed was asked from what is known, so that nothing is missing.
+            Err(Gap) => log::error!("a feed of the store begins after what was asked for"),
+        }
+        let changed = self.gateway.feeds.borrow()[self.table].changed();
+        self.gateway.verify(self.table, version, changed.min(version), shown_at);
+    }
+
+    /// Moment that an answer shows: the start of its call, or earlier where the
+    /// store's clock in the answer lags, because a replica answered that is
+    /// behind.
+    fn shown_at(&mut self, start: Time, store_ms: f64) -> Time {
+        if store_ms <= 0.0 {
+            return start;
+        }
+        let ms = |time: Time| time.as_secs_f64() * 1_000.0;
+        let bound = store_ms - ms(self.gateway.now());
+        let ahead = match self.ahead {
+            Some(ahead) if (ahead - bound).abs() < ms(CLOCK_RESET) => ahead.max(bound),
+            _ => bound,
+        };
+        self.ahead = Some(ahead);
+        let shown = Duration::try_from_secs_f64((store_ms - ahead) / 1_000.0);
+        shown.map_or(start, |shown| shown.min(start))
+    }
+
+    fn answered(&mut self) {
+        self.pause = PAUSE.0;
+        if std::mem::take(&mut self.is_lost) {
+            self.gateway.record.belief(&json!({
+                "event": "store regained", "table": TABLES[self.table],
+            }));
+        }
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
+        self.gateway.metrics.count("store_failures", TABLES[self.table]);
+        if !std::mem::replace(&mut self.is_lost, true) {
+            self.gateway.record.belief(&json!({
+                "event": "store lost", "table": TABLES[self.table], "error": error.to_string(),
+            }));
+        }
+        tokio::time::sleep(self.pause.mul_f64(jitter())).await;
+        self.pause = (self.pause * 2).min(PAUSE.1);
+    }
+}
+
+/// Factor that spreads the calls of many instances.
+fn jitter() -> f64 {
+    rand::rng().random_range(0.5..1.5)
+}
+
+fn feed_row(row: Row) -> FeedRow {
+    FeedRow {
+        key: row.key,
+        version: row.version,
+        value: (!row.removed).then_some(row.value),
+    }
+}
+
+/// Enters this instance in the list, then reads it now and then as a hub.
+async fn keep_listed(gateway: &Shared) {
+    let listing = gateway.fleet.borrow().me().clone();
+    let value = serde_json::to_vec(&listing).unwrap_or_default();
+    let entry = Transaction {
+        puts: vec![put(INSTANCES, &listing.id, value)],
+        ..Transaction::default()
+    };
+    let mut pause = PAUSE.0;
+    while let Err(e) = gateway.store.transact(&entry).await {
+        log::debug!("instance not listed yet: {e}");
+        tokio::time::sleep(pause.mul_f64(jitter())).await;
+        pause = (pause * 2).min(PAUSE.1);
+    }
+    loop {
+        let is_alone = gateway.fleet.borrow().live(gateway.now()).len() < 2;
+        if is_alone || gateway.fleet.borrow().is_hub(gateway.now()) {
+            read_list(gateway).await;
+        }
+        tokio::time::sleep(LIST_INTERVAL.mul_f64(jitter())).await;
+        if gateway.phase() != Phase::Serving {
+            return;
+        }
+    }
+}
+
+async fn read_list(gateway: &Shared) {
+    match gateway.store.read(INSTANCES, "", "").await {
+        Ok(rows) => {
+            let listed = rows.rows.iter();
+            let listed = listed.filter_map(|row| serde_json::from_slice(&row.value).ok());
+            let now = gateway.now();
+            gateway.fleet.borrow_mut().listed(now, listed.collect());
+        }
+        Err(e) => log::debug!("list of instances not read: {e}"),
+    }
+}
+
+/// Takes this instance off the list.
+pub(crate) async fn unlist(gateway: &Shared) {
+    let id = gateway.fleet.borrow().me().id.clone();
+    let removal = Transaction {
+        removals: vec![RowName {
+            table: INSTANCES.into(),
+            part: smol_str::SmolStr::default(),
+            key: id,
+        }],
+        ..Transaction::default()
+    };
+    if let Err(e) = gateway.store.transact(&removal).await {
+        log::debug!("instance not taken off the list: {e}");
+    }
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -24,6 +24,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Pause before a peer that refused is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(300);
+/// Bytes of a connection's buffers: most frames are under 2 KB, and an instance
+/// has few connections that carry more.
+const BUFFER_BYTES: usize = 4 << 10;
 /// Frames that wait for a connection; further ones are dropped.
 const FRAMES_WAITING: usize = 1_024;
 
@@ -53,6 +56,8 @@
     WebSocketConfig::default()
         .max_message_size(Some(FRAME_MAX))
         .max_frame_size(Some(FRAME_MAX))
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
 }
 
 async fn run(
--- a/crates/peer/src/ws.rs
+++ b/crates/peer/src/ws.rs
@@ -45,10 +45,19 @@
     hello: Hello,
     listen: SocketAddr,
     tls: Option<Arc<TlsStore>>,
+    private: bool,
     events: flume::Sender<PeerEvent>,
 }
 
 impl WsMeshBuilder {
+    /// Allows an address beyond loopback without TLS, for networks that only
+    /// instances reach.
+    #[must_use]
+    pub fn private_network(mut self) -> Self {
+        self.private = true;
+        self
+    }
+
     /// Uses mutual TLS.
     #[must_use]
     pub fn tls(mut self, store: TlsStore) -> Self {
@@ -67,9 +76,10 @@
             hello,
             listen,
             tls,
+            private,
             events,
         } = self;
-        if tls.is_none() && !listen.ip().is_loopback() {
+        if tls.is_none() && !private && !listen.ip().is_loopback() {
             return Err(Error::Open { address: listen });
         }
         let address = listen.to_string();
@@ -124,6 +134,7 @@
             },
             listen,
             tls: None,
+            private: false,
             events,
         }
     }
@@ -157,7 +168,10 @@
     fn send(&self, to: &InstanceId, address: SocketAddr, message: &Message) {
         let frame = encode(message);
         let bytes = frame.len() as u64 + HEADER_BYTES;
-        let is_sent = self.link(to, address).try_send(frame).is_ok();
+        let link = self.link(to, address);
+        // A pulse that waits for a connection would be old when it arrives.
+        let is_late = matches!(message, Message::Pulse(_)) && !link.is_empty();
+        let is_sent = !is_late && link.try_send(frame).is_ok();
         self.count(|t| {
             if !is_sent {
                 t.dropped += 1;
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -4,7 +4,7 @@
 use crate::sse::SseReader;
 use crate::{Attempt, Call, Error, Heard, Poll, PollFuture, Target};
 use decision::Report;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,7 +46,7 @@
     let _ = heard.send_async(Heard::Left).await;
     let (answer, _driver) = sender.send(request).await?;
     let status = answer.status().as_u16();
-    if http::header(&answer, http::NOT_RUN) == "true" {
+    if exchange::header(&answer, http::NOT_RUN) == "true" {
         return Err(Stopped::Before {
             refused: false,
             message: format!("the engine refused with status {status}"),
@@ -77,8 +77,7 @@
 }
 
 async fn read_error(body: hyper::body::Incoming) -> String {
-    let limited = Limited::new(body, http::ERROR_MAX).collect().await;
-    let bytes = limited.map(http_body_util::Collected::to_bytes);
+    let bytes = exchange::collect(body, http::ERROR_MAX).await;
     bytes.map_or_else(
         |_| String::new(),
         |b| String::from_utf8_lossy(&b).into_owned(),
@@ -129,9 +128,7 @@
     };
     let sender = http::connect(address).await?;
     let (answer, _driver) = sender.send(http::request(&call)?).await?;
-    let limited = Limited::new(answer.into_body(), http::BODY_MAX);
-    let body = limited.collect().await;
-    let bytes = body.map_err(|e| Stopped::After(e.to_string()))?.to_bytes();
+    let bytes = exchange::collect(answer.into_body(), http::BODY_MAX).await?;
     let answer: LoadAnswer =
         serde_json::from_slice(&bytes).map_err(|e| Stopped::After(e.to_string()))?;
     let gap = has_gap(since, &answer.events);
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -1,14 +1,13 @@
 //! One HTTP/1.1 exchange over one connection.
 
 use crate::{Call, Heard};
+use exchange::{Failure, Sender};
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use hyper::Request;
+use hyper::body::Bytes;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 /// Time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -43,63 +42,18 @@
     }
 }
 
-/// Opens a connection; returns the sender of requests and the driver to poll.
-pub(crate) async fn connect(address: SocketAddr) -> Result<Sender, Stopped> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let tcp = match connecting.await {
-        Ok(Ok(tcp)) => tcp,
-        Ok(Err(e)) => {
-            return Err(Stopped::Before {
-                refused: true,
-                message: e.to_string(),
-            });
+impl From<Failure> for Stopped {
+    fn from(failure: Failure) -> Stopped {
+        match failure {
+            Failure::Unsent { refused, message } => Stopped::Before { refused, message },
+            Failure::Lost(message) => Stopped::After(message),
         }
-        Err(_) => {
-            return Err(Stopped::Before {
-                refused: true,
-                message: "no connection in time".to_owned(),
-            });
-        }
-    };
-    let before = |e: &dyn std::error::Error| Stopped::Before {
-        refused: false,
-        message: e.to_string(),
-    };
-    tcp.set_nodelay(true).map_err(|e| before(&e))?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(tcp));
-    let (sender, connection) = handshake.await.map_err(|e| before(&e))?;
-    Ok(Sender { sender, connection })
-}
-
-/// An open connection before its one request.
-pub(crate) struct Sender {
-    sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
-    connection: hyper::client::conn::http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
-}
-
-/// The driver of a connection; it ends, and closes, when it is dropped.
-pub(crate) struct Driver(tokio::task::JoinHandle<()>);
-
-impl Drop for Driver {
-    fn drop(&mut self) {
-        self.0.abort();
     }
 }
 
-impl Sender {
-    /// Sends the request and waits for the head of the answer.
-    pub(crate) async fn send(
-        mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Driver), Stopped> {
-        let connection = self.connection;
-        let driver = Driver(tokio::spawn(async move {
-            let _ = connection.await;
-        }));
-        let answer = self.sender.send_request(request).await;
-        let answer = answer.map_err(|e| Stopped::After(e.to_string()))?;
-        Ok((answer, driver))
-    }
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr) -> exchange::Result<Sender> {
+    exchange::connect(address, CONNECT_TIMEOUT).await
 }
 
 pub(crate) fn request(call: &Call) -> Result<Request<Full<Bytes>>, Stopped> {
@@ -119,12 +73,6 @@
         })
 }
 
-/// Value of a header as text, or an empty string.
-pub(crate) fn header<'a>(answer: &'a Response<Incoming>, name: &str) -> &'a str {
-    let value = answer.headers().get(name);
-    value.and_then(|v| v.to_str().ok()).unwrap_or_default()
-}
-
 /// Starts a task that runs one attempt.
 pub(crate) fn start<F>(run: impl FnOnce(flume::Sender<Heard>) -> F) -> crate::Attempt
 where
--- a/crates/target/src/plain.rs
+++ b/crates/target/src/plain.rs
@@ -2,7 +2,6 @@
 
 use crate::http::{self, Stopped};
 use crate::{Attempt, Call, Error, Heard, PollFuture, Target};
-use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
 
 /// Adapter for plain HTTP services.
@@ -30,24 +29,22 @@
     let sender = http::connect(call.address).await?;
     let _ = heard.send_async(Heard::Left).await;
     let (answer, _driver) = sender.send(request).await?;
-    if http::header(&answer, http::NOT_RUN) == "true" {
+    if exchange::header(&answer, http::NOT_RUN) == "true" {
         return Err(Stopped::Before {
             refused: false,
             message: "the service says that it did not run".to_owned(),
         });
     }
-    let echo = http::header(&answer, http::REQUEST_ID);
+    let echo = exchange::header(&answer, http::REQUEST_ID);
     if !echo.is_empty() && echo != call.attempt {
         return Err(Stopped::After(
             "the answer is for another request".to_owned(),
         ));
     }
     let status = answer.status().as_u16();
-    let content_type = http::header(&answer, "content-type").into();
-    let limited = Limited::new(answer.into_body(), http::BODY_MAX);
+    let content_type = exchange::header(&answer, "content-type").into();
     // A body that ends before its stated length is an error here.
-    let body = limited.collect().await;
-    let body = body.map_err(|e| Stopped::After(e.to_string()))?.to_bytes();
+    let body = exchange::collect(answer.into_body(), http::BODY_MAX).await?;
     let whole = Heard::Whole {
         status,
         content_type,
