--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -20,6 +20,9 @@
 const SILENT: Duration = Duration::from_millis(800);
 /// Interval at which an instance that doesn't read looks whether it must.
 const LOOK: Duration = Duration::from_millis(100);
+/// Pause after a read of an instance that is no hub; the spread of it keeps the
+/// calls of many instances apart.
+const READ_PAUSE: Duration = Duration::from_millis(600);
 /// Shortest and longest pause after a call that failed.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1_200));
 /// Interval at which hubs read the list of instances.
@@ -66,7 +69,7 @@
                 continue;
             }
             match self.read().await {
-                Ok(()) => self.answered(),
+                Ok(()) => self.answered().await,
                 Err(e) => self.failed(&e).await,
             }
         }
@@ -153,13 +156,16 @@
         shown.map_or(start, |shown| shown.min(start))
     }
 
-    fn answered(&mut self) {
+    async fn answered(&mut self) {
         self.pause = PAUSE.0;
         if std::mem::take(&mut self.is_lost) {
             self.gateway.record.belief(&json!({
                 "event": "store regained", "table": TABLES[self.table],
             }));
         }
+        if !self.gateway.fleet.borrow().is_hub(self.gateway.now()) {
+            tokio::time::sleep(READ_PAUSE.mul_f64(jitter())).await;
+        }
     }
 
     async fn failed(&mut self, error: &StoreError) {
