Prove copies of the store's tables by its own clock, shrink pulses

Cause: an instance of a domain took its hub for behind: the proof of a copy was the start of a call that waits a second, so that its age ran from 1 to 2 s; and pulses of 8 KB to each of 31 instances filled a hub's link of 10 Mbit/s. Retry budgets were sized before an instance knew with how many it shares.

Change: the store's clock in an answer tells the moment that it shows; hubs are on the strongest machines; a pulse lists all instances every third time; the retry budget follows the number of instances and begins with one token. Keys are honoured for 0.78 of the bound, as the store may show rows a second late. Ruled out: longer thresholds (a change must be in force within 2 s).

--- a/crates/bench/src/standin/platform.rs
+++ b/crates/bench/src/standin/platform.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tiny_http::{Method, Request, Server};
 
 /// Fault switches of the platform's store.
@@ -296,11 +296,18 @@
             found
         },
         version: state.version,
+        now_ms: now_ms(),
     };
     drop(state);
     http::json(request, 200, &answer);
 }
 
+/// Milliseconds on a clock that is steady while the stand-in runs.
+fn now_ms() -> f64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0.0, |now| now.as_secs_f64() * 1_000.0)
+}
+
 /// Answers as soon as the table has changed after a version.
 fn feed(shared: &Shared, request: Request, query: &Query) {
     let (table, after) = (text(query, "Table").to_owned(), number(query, "After"));
@@ -326,6 +333,7 @@
                 rows,
                 truncated: false,
                 version: state.version,
+                now_ms: now_ms(),
             };
             drop(state);
             return http::json(request, 200, &answer);
--- a/crates/briargap/src/logging.rs
+++ b/crates/briargap/src/logging.rs
@@ -99,7 +99,11 @@
         let _ = writeln!(output, "{line}");
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            let _ = writeln!(output, "{}", json!({"event": "lines dropped", "count": dropped}));
+            let _ = writeln!(
+                output,
+                "{}",
+                json!({"event": "lines dropped", "count": dropped})
+            );
         }
     }
 }
--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget.rs
@@ -30,6 +30,13 @@
         }
     }
 
+    /// Changes the refill and the limit, as the share of an instance changes.
+    pub fn reset(&mut self, refill: f64, limit: f64) {
+        self.refill = refill;
+        self.limit = limit;
+        self.tokens = self.tokens.min(limit);
+    }
+
     /// Counts a first attempt.
     pub fn deposit(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.limit);
--- a/crates/decision/src/fleet.rs
+++ b/crates/decision/src/fleet.rs
@@ -16,8 +16,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Silence after which an instance no longer counts as live: eight pulses.
-const LIVE: Duration = Duration::from_millis(2_000);
+/// Silence after which an instance no longer counts as live: it is told of
+/// over at most two hops, each within [`LISTS`] pulses.
+const LIVE: Duration = Duration::from_millis(2_500);
 /// Time after which an instance that is silent is forgotten; until then it
 /// keeps its share of the limits, because it may only be out of touch.
 const FORGET: Duration = Duration::from_secs(20);
@@ -26,6 +27,8 @@
 /// Longest time for which a connection holds a pulse up, in milliseconds: a
 /// link gives up a silent connection after less.
 const LATE_MAX_MS: u64 = 3_000;
+/// Pulses of a hub of which one tells all instances; the others tell the hub.
+const LISTS: u64 = 3;
 /// Own pulses whose loads are remembered until a hub's answer.
 const PULSES: usize = 16;
 
@@ -129,6 +132,7 @@
     me: Listing,
     incarnation: Incarnation,
     peers: BTreeMap<InstanceId, Peer>,
+    ticks: u64,
     /// Own loads by the time of the pulse that told them.
     told: VecDeque<(u64, BTreeMap<TargetId, u32>)>,
     /// Loads of the whole fleet but for this instance, and when they came.
@@ -142,6 +146,7 @@
             me,
             incarnation,
             peers: BTreeMap::new(),
+            ticks: 0,
             told: VecDeque::new(),
             others: None,
         }
@@ -226,7 +231,10 @@
         };
         let feeds = pulse.feeds.iter();
         feeds
-            .map(|f| f.as_ref().and_then(|f| Some((*f, echo.checked_sub(age(f))?))))
+            .map(|f| {
+                f.as_ref()
+                    .and_then(|f| Some((*f, echo.checked_sub(age(f))?)))
+            })
             .collect()
     }
 
@@ -288,13 +296,15 @@
         (ids.len() + 1, before)
     }
 
-    /// Hub of a failure domain.
+    /// Hub of a failure domain: of the live instances on the strongest machines
+    /// the first by rendezvous hashing.
     pub fn hub(&self, now: Time, domain: &str) -> Option<&Listing> {
         let here = self.live(now).into_iter().filter(|l| l.domain == domain);
-        let here: BTreeMap<&InstanceId, &Listing> = here.map(|l| (&l.id, l)).collect();
-        let ids: Vec<&str> = here.keys().map(|id| id.as_str()).collect();
-        let id = winner(domain, ids.into_iter())?;
-        here.iter().find(|(i, _)| i.as_str() == id).map(|(_, l)| *l)
+        let here: Vec<&Listing> = here.collect();
+        let power = here.iter().map(|l| l.power).max()?;
+        let strongest = here.iter().filter(|l| l.power == power);
+        let id = winner(domain, strongest.map(|l| l.id.as_str()))?;
+        here.iter().find(|l| l.id == id).copied()
     }
 
     /// Whether this instance is the hub of its failure domain.
@@ -338,11 +348,9 @@
     fn sum(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> BTreeMap<TargetId, u32> {
         let mut sum = BTreeMap::new();
         for peer in self.peers.values().filter(|p| wanted(p)) {
-            let is_fresh = peer
-                .told
-                .is_some_and(|(at, scope)| {
-                    scope != Scope::All && now.saturating_sub(at) < LOADS_AGE
-                });
+            let is_fresh = peer.told.is_some_and(|(at, scope)| {
+                scope != Scope::All && now.saturating_sub(at) < LOADS_AGE
+            });
             if !is_fresh {
                 continue;
             }
@@ -362,6 +370,7 @@
     ) -> Vec<Outgoing> {
         self.peers
             .retain(|_, p| now.saturating_sub(p.heard) < FORGET);
+        self.ticks += 1;
         let at_ms = now.as_millis() as u64;
         self.told.push_back((at_ms, own.clone()));
         if self.told.len() > PULSES {
@@ -381,8 +390,11 @@
             let is_here = |p: &Peer| p.listing.domain == domain;
             let domain_loads = add(self.sum(now, is_here), own);
             let all_loads = add(self.sum(now, |_| true), own);
-            let to_hubs = pulse(Scope::Domain, self.heard(now, is_here), domain_loads);
-            let to_domain = pulse(Scope::All, self.heard(now, |_| true), all_loads);
+            let tells_all = self.ticks.is_multiple_of(LISTS);
+            let to_hubs = self.heard(now, |p| tells_all && is_here(p));
+            let to_hubs = pulse(Scope::Domain, to_hubs, domain_loads);
+            let to_domain = self.heard(now, |_| tells_all);
+            let to_domain = pulse(Scope::All, to_domain, all_loads);
             for hub in self.other_hubs(now) {
                 self.send(&mut out, &hub, &to_hubs);
             }
@@ -426,9 +438,10 @@
         if !self.is_hub(now) {
             return Vec::new();
         }
-        let here = self.peers.values().filter(|p| {
-            p.listing.domain == self.me.domain && now.saturating_sub(p.heard) < LIVE
-        });
+        let here = self
+            .peers
+            .values()
+            .filter(|p| p.listing.domain == self.me.domain && now.saturating_sub(p.heard) < LIVE);
         here.map(|p| p.listing.clone()).collect()
     }
 
--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -189,9 +189,11 @@
     prompt: Prompt,
     bound: u32,
 ) -> Option<(&'a TargetId, u32)> {
-    let order = rank(prompt.subject, usable.iter().map(|(id, _)| (id.as_str(), 1)));
-    let loads: BTreeMap<&str, Candidate<'a>> =
-        usable.iter().map(|c| (c.0.as_str(), *c)).collect();
+    let order = rank(
+        prompt.subject,
+        usable.iter().map(|(id, _)| (id.as_str(), 1)),
+    );
+    let loads: BTreeMap<&str, Candidate<'a>> = usable.iter().map(|c| (c.0.as_str(), *c)).collect();
     let below = order.iter().enumerate().find_map(|(place, id)| {
         let (id, state) = loads.get(id)?;
         (state.load() < bound).then_some((*id, place as u32))
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -265,18 +265,26 @@
         self.budget(service).withdraw(now)
     }
 
-    /// Budget of this instance: its share of what all may use together.
+    /// Budget of this instance: its share of what all may use together. It
+    /// begins with one token, because an instance that has just started does
+    /// not know yet with how many it shares.
     fn budget(&mut self, service: &ServiceId) -> &mut Budget {
-        let share = self.bounds.retry_slack * RETRY_MARGIN / self.instances as f64;
+        let slack = self.bounds.retry_slack * RETRY_MARGIN / self.instances as f64;
+        let (burst, refill) = (slack / 2.0, slack / 2.0 / RETRY_WINDOW.as_secs_f64());
         let ratio = self.bounds.retry_ratio * RETRY_MARGIN;
-        let new = || Budget::new(ratio, 0.0, share.max(1.0));
-        self.budgets.entry(service.clone()).or_insert_with(new)
+        let budgets = &mut self.budgets;
+        let budget = budgets.entry(service.clone());
+        let budget = budget.or_insert_with(|| Budget::new(ratio, refill, 1.0));
+        budget.reset(refill, burst.max(1.0));
+        budget
     }
 }
 
-/// Share of the retry budget that is used, so that a restarted instance, which
-/// begins with a full one, doesn't carry the fleet past it.
-const RETRY_MARGIN: f64 = 0.7;
+/// Share of the retry budget that is used: requests that callers gave up and
+/// arrivals that nobody counted here draw on it too.
+const RETRY_MARGIN: f64 = 0.75;
+/// Window over which the operators count retries.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
 /// Summary of a router for the dump.
 #[derive(Clone, Debug, Serialize)]
--- a/crates/decision/src/router/roster.rs
+++ b/crates/decision/src/router/roster.rs
@@ -11,7 +11,7 @@
 /// Share of failures above which a target is set aside.
 const EJECT_SHARE: f64 = 0.6;
 /// Time for which a target is set aside at first.
-const EJECT_TIME: Duration = Duration::from_millis(1_000);
+const EJECT_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which a target is set aside.
 const EJECT_LIMIT: Duration = Duration::from_secs(8);
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,10 +38,6 @@
         }
     }
 
-    pub(crate) fn target(&self) -> &decision::TargetId {
-        &self.lease.target
-    }
-
     /// Ends the attempt.
     pub(crate) fn end(mut self, ending: Ending) {
         self.ending = ending;
@@ -71,6 +67,8 @@
     Full,
     /// Another target has the address and did not run the request.
     Moved,
+    /// The target answered that the request failed there.
+    Failed,
     /// The request may have run.
     Lost(String),
 }
@@ -78,7 +76,7 @@
 impl Miss {
     /// Whether it is certain that the request did not run.
     pub(crate) fn has_not_run(&self) -> bool {
-        !matches!(self, Miss::Lost(_))
+        !matches!(self, Miss::Lost(_) | Miss::Failed)
     }
 
     /// Whether the request arrived at the target, which draws on the budget.
@@ -89,6 +87,7 @@
     pub(crate) fn ending(&self) -> Ending {
         match self {
             Miss::Unsent(_) | Miss::Lost(_) => Ending::Broken,
+            Miss::Failed => Ending::Failed,
             Miss::Full => Ending::Full,
             Miss::Moved => Ending::Moved,
         }
@@ -99,6 +98,7 @@
             Miss::Unsent(_) => "unsent",
             Miss::Full => "full",
             Miss::Moved => "moved",
+            Miss::Failed => "failed",
             Miss::Lost(_) => "lost",
         }
     }
@@ -106,7 +106,7 @@
     pub(crate) fn detail(&self) -> &str {
         match self {
             Miss::Unsent(message) | Miss::Lost(message) => message,
-            Miss::Full | Miss::Moved => "",
+            Miss::Full | Miss::Moved | Miss::Failed => "",
         }
     }
 }
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -14,7 +14,9 @@
 
 impl Clock {
     pub(crate) fn start() -> Self {
-        Clock { start: since_boot() }
+        Clock {
+            start: since_boot(),
+        }
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -29,7 +29,10 @@
         ("requests_now", gateway.requests.get() as u64),
         ("connections_now", gateway.connections.get() as u64),
         ("at_targets_now", u64::from(router.in_flight())),
-        ("instances_live", gateway.fleet.borrow().live(now).len() as u64),
+        (
+            "instances_live",
+            gateway.fleet.borrow().live(now).len() as u64,
+        ),
         ("configuration_version", router.version().unwrap_or(0)),
         ("configuration_age_ms", age.unwrap_or(u64::MAX)),
     ];
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,7 @@
 use decision::{Admission, Ending, Need, Pick, Refusal, Repeat, TargetId, Time, hash_parts};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode, header};
 use platform::requests::{self, CallerHead, Forward};
 use rand::Rng;
@@ -39,6 +40,14 @@
     /// Attempts that may have run.
     pub(crate) runs: u32,
     hash: u64,
+    /// Last answer that says that the request failed at its target.
+    failure: Option<Failure>,
+}
+
+/// A whole answer that says that the request failed.
+struct Failure {
+    parts: Parts,
+    body: Bytes,
 }
 
 /// Serves one request of a caller.
@@ -83,6 +92,7 @@
         tried: Vec::new(),
         runs: 0,
         hash,
+        failure: None,
     };
     journey.run().await
 }
@@ -112,9 +122,7 @@
     }
     match Limited::new(body, most).collect().await {
         Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-            Err((413, "the body is too large"))
-        }
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err((413, "the body is too large")),
         Err(_) => Err((400, "the body ended early")),
     }
 }
@@ -126,7 +134,12 @@
         loop {
             let (pick, held) = match self.choose() {
                 Ok(chosen) => chosen,
-                Err(refusal) => return self.give_up(refusal.word(), Some(refusal)),
+                Err(refusal) => {
+                    if let Some(Failure { parts, body }) = self.failure.take() {
+                        return self.answer(&parts, body);
+                    }
+                    return self.give_up(refusal.word(), Some(refusal));
+                }
             };
             let opened = self.open(&pick).await;
             let missed = match opened {
@@ -214,8 +227,8 @@
         self.admission.route.repeat.is_stream() && opened.answer.status().is_success()
     }
 
-    /// Collects a whole answer; a failure that another target may not have is
-    /// a miss.
+    /// Collects a whole answer. A failure that another target may not have is
+    /// kept and counts as a miss.
     async fn whole(&mut self, opened: Opened, held: Held) -> Result<Response<Outlet>, Miss> {
         let Opened { answer, driver } = opened;
         let (parts, body) = answer.into_parts();
@@ -233,45 +246,19 @@
                 return Err(Miss::Lost("the answer was not whole in time".to_owned()));
             }
         };
-        let status = parts.status;
-        let target = held.target().clone();
-        held.end(if status.is_server_error() {
-            Ending::Failed
-        } else {
-            Ending::Whole
-        });
-        let route = &self.admission.route;
-        let may_repeat = route.repeat.is_repeatable() && self.runs + 1 < route.attempts;
-        let is_early = self.left() > ATTEMPT_MIN;
-        if status.is_server_error() && may_repeat && is_early && self.take_retry() {
-            self.runs += 1;
-            self.tried.push(target);
-            self.gateway.metrics.count("retries", "failed");
-            // The token has been taken; the next attempt is paid for.
-            let (pick, held) = match self.choose() {
-                Ok(chosen) => chosen,
-                Err(_) => return Ok(self.answer(&parts, body, "failed")),
-            };
-            let opened = self.open(&pick).await;
-            return match opened {
-                Ok(opened) => Box::pin(self.whole(opened, held)).await,
-                Err(miss) => {
-                    held.end(miss.ending());
-                    Ok(self.answer(&parts, body, "failed"))
-                }
-            };
+        if !parts.status.is_server_error() {
+            held.end(Ending::Whole);
+            return Ok(self.answer(&parts, body));
         }
-        let word = if status.is_success() { "whole" } else { "failed" };
-        Ok(self.answer(&parts, body, word))
+        held.end(Ending::Failed);
+        self.failure = Some(Failure { parts, body });
+        Err(Miss::Failed)
     }
 
-    fn answer(
-        &self,
-        parts: &hyper::http::response::Parts,
-        body: Bytes,
-        word: &'static str,
-    ) -> Response<Outlet> {
-        self.finished(word, parts.status.as_u16(), Value::Null);
+    fn answer(&self, parts: &Parts, body: Bytes) -> Response<Outlet> {
+        let is_failure = parts.status.is_server_error();
+        let word = if is_failure { "failed" } else { "whole" };
+        self.finished(word, parts.status.as_u16(), &Value::Null);
         let mut response = Response::new(relay::whole(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = requests::end_to_end(&parts.headers);
@@ -294,6 +281,9 @@
             self.gateway.metrics.count("retries", miss.word());
             return None;
         }
+        if let Some(Failure { parts, body }) = self.failure.take() {
+            return Some(self.answer(&parts, body));
+        }
         let full = miss.has_not_run().then_some(Refusal::Full);
         let word = format!("{}: {}", miss.word(), miss.detail());
         Some(self.give_up(&word, full))
@@ -315,12 +305,12 @@
             _ => 502,
         };
         let wait = (status == 503).then(retry_after);
-        self.finished("refused", status, json!(reason));
+        self.finished("refused", status, &json!(reason));
         plain(&self.gateway, status, reason, wait)
     }
 
     /// Logs and counts the end of the request.
-    pub(crate) fn finished(&self, outcome: &'static str, status: u16, reason: Value) {
+    pub(crate) fn finished(&self, outcome: &'static str, status: u16, reason: &Value) {
         let gateway = &self.gateway;
         let took = gateway.now().saturating_sub(self.arrived);
         gateway.metrics.count("requests", outcome);
@@ -402,4 +392,3 @@
         _ => "other",
     }
 }
-
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,7 +65,10 @@
 /// # Errors
 ///
 /// Fails where an address can't be listened on.
-pub async fn run(settings: Settings, reread: impl Fn() -> Option<Settings> + 'static) -> Result<()> {
+pub async fn run(
+    settings: Settings,
+    reread: impl Fn() -> Option<Settings> + 'static,
+) -> Result<()> {
     let gateway = Gateway::new(settings);
     let mesh = fleet::start(&gateway).await?;
     server::start(&gateway).await?;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,7 +45,10 @@
         for (name, histogram) in self.latencies.borrow().iter() {
             for quantile in QUANTILES {
                 let value = histogram.value_at_quantile(quantile);
-                let _ = writeln!(text, "briargap_{name}_ms{{quantile=\"{quantile}\"}} {value}");
+                let _ = writeln!(
+                    text,
+                    "briargap_{name}_ms{{quantile=\"{quantile}\"}} {value}"
+                );
             }
             let _ = writeln!(text, "briargap_{name}_ms_count {}", histogram.len());
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,7 +45,9 @@
 
 /// Body that is there as a whole.
 pub(crate) fn whole(body: Bytes) -> Outlet {
-    Full::new(body).map_err(|never| match never {}).boxed_unsync()
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 struct Stream {
@@ -210,12 +212,15 @@
                 Part::Left | Part::Late => Ending::Dropped,
             });
             let miss = match part {
-                Part::Whole => return self.journey.finished("whole", 200, Value::Null),
-                Part::Left => return self.journey.finished("caller_left", 200, Value::Null),
+                Part::Whole => return self.journey.finished("whole", 200, &Value::Null),
+                Part::Left => return self.journey.finished("caller_left", 200, &Value::Null),
                 Part::Late => return self.cut("time is over").await,
                 Part::Missed(miss) => miss,
             };
-            self.journey.gateway.metrics.count("streams_cut", miss.word());
+            self.journey
+                .gateway
+                .metrics
+                .count("streams_cut", miss.word());
             match self.resume(&miss).await {
                 Some(resumed) => source = resumed,
                 None => return self.cut(miss.detail()).await,
@@ -312,7 +317,7 @@
     async fn cut(self, reason: &str) {
         let events = self.events;
         self.journey
-            .finished("cut", 502, json!({ "reason": reason, "events": events }));
+            .finished("cut", 502, &json!({ "reason": reason, "events": events }));
         // A caller that has left needs no mark.
         let _ = self.sender.send(Err(Cut)).await;
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -169,7 +169,9 @@
     let body = serde_json::to_vec(&resolved).unwrap_or_default();
     let mut response = Response::new(whole(body.into()));
     let json_type = header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json_type);
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, json_type);
     response
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,10 +27,14 @@
 /// 4 ms, and in 240 ms when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Outage of the store after which entries may have lapsed.
-const OUTAGE: Duration = Duration::from_millis(2_000);
+const OUTAGE: Duration = Duration::from_secs(2);
 /// Time for which lapsed entries may come back after an outage.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Share of the operators' bound on the age of a configuration up to which
+/// keys are honoured: the store may show its rows a second late.
+const KEY_AGE_SHARE: f64 = 0.78;
+
 /// How far an instance is with stopping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -63,7 +67,7 @@
 impl Gateway {
     pub(crate) fn new(settings: Settings) -> Shared {
         let bounds = RouterBounds {
-            key_age: settings.bounds.key_age,
+            key_age: settings.bounds.key_age.mul_f64(KEY_AGE_SHARE),
             retry_ratio: settings.bounds.retry_ratio,
             retry_slack: settings.bounds.retry_slack,
             cold_excess: settings.bounds.cold_excess,
@@ -78,6 +82,7 @@
             caller: settings.listen.callers,
             peer: settings.listen.peers,
             leaving: false,
+            power: (settings.machine.cores * 1_000.0) as u32,
         };
         Rc::new(Gateway {
             clock: Clock::start(),
@@ -189,7 +194,8 @@
             Ok(OperatorRow::Configuration(catalog)) => {
                 let (version, routes) = (catalog.version, catalog.route_count());
                 let is_new = self.router.borrow_mut().configure(*catalog);
-                self.metrics.count("configurations", if is_new { "taken" } else { "old" });
+                self.metrics
+                    .count("configurations", if is_new { "taken" } else { "old" });
                 self.record.belief(&json!({
                     "event": "configuration", "version": version, "routes": routes,
                     "row": row.version, "taken": is_new,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,7 +4,7 @@
 use crate::fleet::Mesh;
 use crate::state::{Gap, Phase, TABLES};
 use decision::{FeedNews, FeedRow, Time};
-use platform::rows::{INSTANCES, Row, Rows, RowName, Transaction};
+use platform::rows::{INSTANCES, Row, RowName, Rows, Transaction};
 use platform::{StoreError, put};
 use rand::Rng;
 use serde_json::json;
@@ -12,7 +12,7 @@
 
 /// Longest wait of one call for changes: with a pulse and an answer on top, an
 /// instance's copy stays younger than [`OLD`].
-const FEED_WAIT: Duration = Duration::from_millis(1_000);
+const FEED_WAIT: Duration = Duration::from_secs(1);
 /// Estimated age of a hub's copy at which an instance reads for itself; the
 /// operators' tightest bound on a change is 2 s.
 const OLD: Duration = Duration::from_millis(1_500);
@@ -27,6 +27,9 @@
 const PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1_200));
 /// Interval at which hubs read the list of instances.
 const LIST_INTERVAL: Duration = Duration::from_secs(8);
+/// Error of the store's clock as it is known here: the least time that an
+/// answer took on its way.
+const CLOCK_SLACK: Duration = Duration::from_millis(20);
 /// Difference after which the store's clock counts as set anew.
 const CLOCK_RESET: Duration = Duration::from_secs(60);
 
@@ -46,6 +49,7 @@
     table: usize,
     pause: Duration,
     is_lost: bool,
+    reason: Option<&'static str>,
     /// Lower bound of the store's clock ahead of this instance's.
     ahead: Option<f64>,
 }
@@ -58,13 +62,16 @@
             table,
             pause: PAUSE.0,
             is_lost: false,
+            reason: None,
             ahead: None,
         }
     }
 
     async fn run(&mut self) {
         loop {
-            if !self.must_read() {
+            let reason = self.reason();
+            self.note(reason);
+            if reason.is_none() {
                 tokio::time::sleep(LOOK).await;
                 continue;
             }
@@ -75,14 +82,27 @@
         }
     }
 
-    /// Hubs read; others only while no hub has new copies.
-    fn must_read(&self) -> bool {
+    /// Why this instance reads now: hubs read, others only while no hub has new
+    /// copies.
+    fn reason(&self) -> Option<&'static str> {
         let now = self.gateway.now();
         let fleet = self.gateway.fleet.borrow();
         let is_unknown = self.gateway.feeds.borrow()[self.table].version().is_none();
-        let is_silent = fleet.silence(now).is_none_or(|s| s > SILENT);
-        let is_old = fleet.feed_age(now, self.table).is_none_or(|a| a > OLD);
-        is_unknown || is_silent || is_old || fleet.is_hub(now)
+        match () {
+            () if fleet.is_hub(now) => Some("hub"),
+            () if is_unknown => Some("nothing known"),
+            () if fleet.silence(now).is_none_or(|s| s > SILENT) => Some("hubs silent"),
+            () if fleet.feed_age(now, self.table).is_none_or(|a| a > OLD) => Some("hubs behind"),
+            () => None,
+        }
+    }
+
+    fn note(&mut self, reason: Option<&'static str>) {
+        if std::mem::replace(&mut self.reason, reason) != reason {
+            self.gateway.record.belief(&json!({
+                "event": "reads the store", "table": TABLES[self.table], "reason": reason,
+            }));
+        }
     }
 
     async fn read(&mut self) -> platform::Result<()> {
@@ -135,25 +155,27 @@
             Err(Gap) => log::error!("a feed of the store begins after what was asked for"),
         }
         let changed = self.gateway.feeds.borrow()[self.table].changed();
-        self.gateway.verify(self.table, version, changed.min(version), shown_at);
+        self.gateway
+            .verify(self.table, version, changed.min(version), shown_at);
     }
 
-    /// Moment that an answer shows: the start of its call, or earlier where the
-    /// store's clock in the answer lags, because a replica answered that is
-    /// behind.
+    /// Moment that an answer shows: by the store's clock in it, as far as that
+    /// is known here, because an answer may wait long for changes, or come from
+    /// a replica that is behind; else the start of its call.
     fn shown_at(&mut self, start: Time, store_ms: f64) -> Time {
         if store_ms <= 0.0 {
             return start;
         }
         let ms = |time: Time| time.as_secs_f64() * 1_000.0;
-        let bound = store_ms - ms(self.gateway.now());
+        let now = self.gateway.now();
+        let bound = store_ms - ms(now);
         let ahead = match self.ahead {
             Some(ahead) if (ahead - bound).abs() < ms(CLOCK_RESET) => ahead.max(bound),
             _ => bound,
         };
         self.ahead = Some(ahead);
         let shown = Duration::try_from_secs_f64((store_ms - ahead) / 1_000.0);
-        shown.map_or(start, |shown| shown.min(start))
+        shown.map_or(start, |shown| shown.min(now).saturating_sub(CLOCK_SLACK))
     }
 
     async fn answered(&mut self) {
@@ -169,7 +191,9 @@
     }
 
     async fn failed(&mut self, error: &StoreError) {
-        self.gateway.metrics.count("store_failures", TABLES[self.table]);
+        self.gateway
+            .metrics
+            .count("store_failures", TABLES[self.table]);
         if !std::mem::replace(&mut self.is_lost, true) {
             self.gateway.record.belief(&json!({
                 "event": "store lost", "table": TABLES[self.table], "error": error.to_string(),
