Test the platform path, and elect hubs through their deaths

Cause: a test of 20 instances in virtual time showed that the death of a hub left each instance of its domain a hub of its own for good: who is heard was told by the hub alone, so that all went silent together.

Change: without a hub's pulses, what was last told of the others stands; an instance that is taken for the hub and doesn't answer for a second is passed over.

--- a/crates/bench/src/standin/engine.rs
+++ b/crates/bench/src/standin/engine.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a model engine.
 
-use super::http;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use standin::http;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Write;
 use std::net::SocketAddr;
--- a/crates/bench/src/standin/mod.rs
+++ b/crates/bench/src/standin/mod.rs
@@ -4,10 +4,8 @@
 //! (`GET /records`), so that a test judges by the stand-in's own records.
 
 mod engine;
-mod http;
-mod platform;
 mod service;
 
 pub use engine::{Engine, EngineFaults, EngineOptions, EngineRecords, Run, word};
-pub use platform::{PlatformFaults, PlatformStandIn};
 pub use service::{Service, ServiceFaults, ServiceRecords};
+pub use standin::{PlatformFaults, PlatformStandIn};
--- a/crates/bench/src/standin/service.rs
+++ b/crates/bench/src/standin/service.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a plain service, which counts how often each call ran.
 
-use super::http;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use standin::http;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
--- a/crates/briargap/src/serve.rs
+++ b/crates/briargap/src/serve.rs
@@ -102,7 +102,11 @@
         }
     };
     let local = tokio::task::LocalSet::new();
-    match local.block_on(&runtime, gateway::run(settings, reread)) {
+    let running = async {
+        let instance = gateway::Instance::start(settings).await?;
+        instance.until_stopped(reread).await
+    };
+    match local.block_on(&runtime, running) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
--- a/crates/decision/src/fleet.rs
+++ b/crates/decision/src/fleet.rs
@@ -19,11 +19,16 @@
 /// Silence after which an instance no longer counts as live: it is told of
 /// over at most two hops, each within [`LISTS`] pulses.
 const LIVE: Duration = Duration::from_millis(2_500);
+/// Time for which an instance that is taken for the hub may leave pulses
+/// without an answer: five of them.
+const HUB_TRIAL: Duration = Duration::from_secs(1);
 /// Time after which an instance that is silent is forgotten; until then it
 /// keeps its share of the limits, because it may only be out of touch.
 const FORGET: Duration = Duration::from_secs(20);
 /// Age at which loads told by others are no longer counted.
 const LOADS_AGE: Duration = Duration::from_millis(1_500);
+/// Silence of the hubs after which an instance is no longer told who is heard.
+const PULSE_LATE: Duration = Duration::from_millis(600);
 /// Longest time for which a connection holds a pulse up, in milliseconds: a
 /// link gives up a silent connection after less.
 const LATE_MAX_MS: u64 = 3_000;
@@ -117,6 +122,8 @@
     listing: Listing,
     incarnation: Incarnation,
     heard: Time,
+    /// When it last failed to answer; it is live again once it is heard later.
+    failed: Option<Time>,
     /// Time of its last pulse on its own clock.
     pulse_ms: Option<u64>,
     /// When its last pulse came, and what its loads covered.
@@ -133,6 +140,8 @@
     incarnation: Incarnation,
     peers: BTreeMap<InstanceId, Peer>,
     ticks: u64,
+    /// Instance that is taken for the hub of the domain, and since when.
+    trial: Option<(InstanceId, Time)>,
     /// Own loads by the time of the pulse that told them.
     told: VecDeque<(u64, BTreeMap<TargetId, u32>)>,
     /// Loads of the whole fleet but for this instance, and when they came.
@@ -147,6 +156,7 @@
             incarnation,
             peers: BTreeMap::new(),
             ticks: 0,
+            trial: None,
             told: VecDeque::new(),
             others: None,
         }
@@ -166,6 +176,7 @@
         let peer = Peer {
             incarnation,
             heard,
+            failed: None,
             pulse_ms: None,
             told: None,
             loads: BTreeMap::new(),
@@ -190,11 +201,31 @@
         self.me.leaving = true;
     }
 
-    /// Notes that an instance can't be reached; it counts as silent until it
-    /// is heard again.
+    /// Notes that an instance can't be reached; it doesn't count as live until
+    /// it is heard again.
     pub fn lost(&mut self, now: Time, id: &str) {
         if let Some(peer) = self.peers.get_mut(id) {
-            peer.heard = peer.heard.min(now.saturating_sub(LIVE / 2));
+            peer.failed = Some(now);
+        }
+    }
+
+    /// Gives up an instance that is taken for the hub and does not answer.
+    fn try_hub(&mut self, now: Time) {
+        let hub = self.hub(now, &self.me.domain).map(|hub| hub.id.clone());
+        let Some(hub) = hub.filter(|hub| *hub != self.me.id) else {
+            self.trial = None;
+            return;
+        };
+        let since = match &self.trial {
+            Some((id, since)) if *id == hub => *since,
+            _ => now,
+        };
+        self.trial = Some((hub.clone(), since));
+        let told = self.peers.get(&hub).and_then(|p| p.told).map(|(at, _)| at);
+        let answered = told.map_or(since, |at| at.max(since));
+        if now.saturating_sub(answered) >= HUB_TRIAL {
+            self.lost(now, &hub);
+            self.trial = None;
         }
     }
 
@@ -276,14 +307,25 @@
         }
     }
 
-    fn is_live(peer: &Peer, now: Time) -> bool {
-        !peer.listing.leaving && now.saturating_sub(peer.heard) < LIVE
+    fn is_live(&self, peer: &Peer, now: Time) -> bool {
+        let answers = peer.failed.is_none_or(|failed| peer.heard > failed);
+        let age = self.news_at(now).saturating_sub(peer.heard);
+        !peer.listing.leaving && answers && age < LIVE
+    }
+
+    /// Moment up to which this instance is told who is heard. Without a hub it
+    /// is told nothing, and that is no sign of the others' silence.
+    fn news_at(&self, now: Time) -> Time {
+        match self.silence(now) {
+            Some(silence) if silence >= PULSE_LATE => now.saturating_sub(silence),
+            _ => now,
+        }
     }
 
     /// Live instances that take callers, this one included unless it stops.
     pub fn live(&self, now: Time) -> Vec<&Listing> {
         let me = Some(&self.me).filter(|me| !me.leaving);
-        let others = self.peers.values().filter(|p| Self::is_live(p, now));
+        let others = self.peers.values().filter(|p| self.is_live(p, now));
         me.into_iter().chain(others.map(|p| &p.listing)).collect()
     }
 
@@ -371,6 +413,7 @@
         self.peers
             .retain(|_, p| now.saturating_sub(p.heard) < FORGET);
         self.ticks += 1;
+        self.try_hub(now);
         let at_ms = now.as_millis() as u64;
         self.told.push_back((at_ms, own.clone()));
         if self.told.len() > PULSES {
@@ -399,7 +442,7 @@
                 self.send(&mut out, &hub, &to_hubs);
             }
             let here = self.peers.values().filter(|p| is_here(p));
-            let here = here.filter(|p| now.saturating_sub(p.heard) < LIVE);
+            let here = here.filter(|p| self.is_live(p, now));
             let here: Vec<Listing> = here.map(|p| p.listing.clone()).collect();
             for listing in here {
                 self.send(&mut out, &listing, &to_domain);
@@ -441,7 +484,7 @@
         let here = self
             .peers
             .values()
-            .filter(|p| p.listing.domain == self.me.domain && now.saturating_sub(p.heard) < LIVE);
+            .filter(|p| p.listing.domain == self.me.domain && self.is_live(p, now));
         here.map(|p| p.listing.clone()).collect()
     }
 
--- /dev/null
+++ b/crates/decision/tests/fleet.rs
@@ -0,0 +1,303 @@
+//! Hubs, loads and proofs among many instances, with loss and delay.
+
+use decision::{
+    Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, InstanceId, Listing, Outgoing, TargetId, Time,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const PULSE: Duration = Duration::from_millis(200);
+
+fn listing(number: usize, domains: usize) -> Listing {
+    let port = number as u16;
+    Listing {
+        id: format!("i{number:03}").into(),
+        domain: format!("d{}", number % domains).into(),
+        caller: ([10, 0, 0, 1], port).into(),
+        peer: ([10, 0, 0, 2], port).into(),
+        leaving: false,
+        power: if number < domains * 2 { 500 } else { 84 },
+    }
+}
+
+/// Instances that exchange pulses in virtual time.
+struct Net {
+    fleets: BTreeMap<InstanceId, Fleet>,
+    loads: BTreeMap<InstanceId, BTreeMap<TargetId, u32>>,
+    cut: BTreeSet<InstanceId>,
+    now: Time,
+    sent: usize,
+}
+
+impl Net {
+    fn new(instances: usize, domains: usize) -> Net {
+        let all: Vec<Listing> = (0..instances).map(|n| listing(n, domains)).collect();
+        let fleets = all.iter().map(|me| {
+            let mut fleet = Fleet::new(me.clone(), 1);
+            fleet.listed(Time::ZERO, all.clone());
+            (me.id.clone(), fleet)
+        });
+        Net {
+            fleets: fleets.collect(),
+            loads: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            now: Time::ZERO,
+            sent: 0,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += PULSE;
+            let feeds = [Some(FeedAge {
+                version: 5,
+                changed: 5,
+                age_ms: 300,
+            })];
+            let mut out: Vec<(InstanceId, Outgoing)> = Vec::new();
+            for (id, fleet) in &mut self.fleets {
+                let own = self.loads.get(id).cloned().unwrap_or_default();
+                let pulses = fleet.tick(self.now, &own, &feeds);
+                out.extend(pulses.into_iter().map(|p| (id.clone(), p)));
+            }
+            self.sent += out.len();
+            for (from, outgoing) in out {
+                if self.cut.contains(&from) || self.cut.contains(&outgoing.to) {
+                    continue;
+                }
+                if let Some(to) = self.fleets.get_mut(&outgoing.to) {
+                    to.pulse(self.now, &from, outgoing.pulse);
+                }
+            }
+        }
+    }
+
+    fn hubs(&self) -> BTreeSet<InstanceId> {
+        let hubs = self.fleets.iter().filter(|(_, f)| f.is_hub(self.now));
+        hubs.map(|(id, _)| id.clone()).collect()
+    }
+}
+
+#[test]
+fn each_domain_has_one_hub_on_its_strongest_machines() {
+    for instances in [3, 13, 93, 370] {
+        let mut net = Net::new(instances, 3);
+        net.run(Duration::from_secs(5));
+        let hubs = net.hubs();
+        assert_eq!(hubs.len(), 3, "{instances} instances");
+        for hub in hubs {
+            assert!(net.fleets[&hub].me().power == 500);
+        }
+    }
+}
+
+#[test]
+fn pulses_grow_with_instances_and_not_with_their_square() {
+    let count = |instances| {
+        let mut net = Net::new(instances, 3);
+        net.run(Duration::from_secs(4));
+        let before = net.sent;
+        net.run(Duration::from_secs(1));
+        net.sent - before
+    };
+    // To a hub and back five times a second, and between the hubs.
+    assert!(count(93) <= 93 * 10 + 30);
+    assert!(count(370) <= 370 * 10 + 30);
+}
+
+#[test]
+fn every_instance_knows_the_loads_of_all_others() {
+    let mut net = Net::new(40, 4);
+    for number in 0..40 {
+        let loads = BTreeMap::from([("t1".into(), 2), (format!("own{number}").into(), 1)]);
+        net.loads.insert(listing(number, 4).id, loads);
+    }
+    net.run(Duration::from_secs(3));
+    for (id, fleet) in &net.fleets {
+        let others = fleet.others(net.now);
+        assert_eq!(others["t1"], 78, "at {id}");
+        assert_eq!(others.values().sum::<u32>(), 78 + 39, "at {id}");
+    }
+}
+
+#[test]
+fn a_hub_that_dies_is_replaced_and_leaves_the_live_list() {
+    let mut net = Net::new(20, 2);
+    net.run(Duration::from_secs(3));
+    let dead = net.hubs().into_iter().next().expect("a hub");
+    net.cut.insert(dead.clone());
+    net.run(Duration::from_secs(6));
+    let hubs: BTreeSet<InstanceId> = net.hubs().into_iter().filter(|h| *h != dead).collect();
+    assert_eq!(hubs.len(), 2);
+    for (id, fleet) in net.fleets.iter().filter(|(id, _)| **id != dead) {
+        let live = fleet.live(net.now);
+        assert!(live.iter().all(|l| l.id != dead), "at {id}");
+        assert_eq!(live.len(), 19, "at {id}");
+        let (instances, _) = fleet.share(net.now);
+        assert_eq!(
+            instances, 20,
+            "the silent one keeps its share of the limits"
+        );
+    }
+    net.cut.clear();
+    net.run(Duration::from_secs(4));
+    assert_eq!(net.hubs().len(), 2);
+    assert!(net.fleets.values().all(|f| f.live(net.now).len() == 20));
+}
+
+#[test]
+fn a_domain_that_loses_most_of_its_instances_finds_a_hub() {
+    let mut net = Net::new(30, 3);
+    net.run(Duration::from_secs(3));
+    let domain: Vec<InstanceId> = (0..30).step_by(3).map(|n| listing(n, 3).id).collect();
+    let left = domain.last().cloned().expect("an instance");
+    net.cut
+        .extend(domain.iter().filter(|id| **id != left).cloned());
+    net.run(Duration::from_secs(15));
+    assert!(net.fleets[&left].is_hub(net.now));
+    let live = net.fleets[&left].live(net.now);
+    assert_eq!(live.len(), 21);
+    net.cut.clear();
+    net.run(Duration::from_secs(5));
+    assert_eq!(net.hubs().len(), 3);
+    assert!(net.fleets.values().all(|f| f.live(net.now).len() == 30));
+}
+
+#[test]
+fn an_instance_that_is_cut_off_knows_that_its_hubs_are_silent() {
+    let mut net = Net::new(12, 3);
+    net.run(Duration::from_secs(3));
+    let lone = net
+        .fleets
+        .keys()
+        .find(|id| !net.hubs().contains(*id))
+        .cloned()
+        .expect("no hub");
+    let fleet = &net.fleets[&lone];
+    assert!(fleet.silence(net.now).is_some_and(|s| s <= PULSE));
+    net.cut.insert(lone.clone());
+    net.run(Duration::from_secs(1));
+    let fleet = &net.fleets[&lone];
+    assert!(
+        fleet
+            .silence(net.now)
+            .is_some_and(|s| s >= Duration::from_millis(800))
+    );
+    let age = fleet.feed_age(net.now, 0).expect("told before");
+    assert!(age >= Duration::from_millis(1_000));
+    net.run(Duration::from_secs(4));
+    let fleet = &net.fleets[&lone];
+    assert!(fleet.is_hub(net.now), "no other answers it");
+    assert!(fleet.live(net.now).len() >= 9, "others are not tried");
+    assert!(
+        fleet.others(net.now).is_empty(),
+        "old loads are not counted"
+    );
+}
+
+#[test]
+fn a_pulse_that_was_held_up_proves_nothing_new() {
+    let (a, b) = (listing(0, 1), listing(1, 1));
+    let mut one = Fleet::new(a.clone(), 1);
+    let mut two = Fleet::new(b.clone(), 1);
+    one.listed(Time::ZERO, vec![b.clone()]);
+    two.listed(Time::ZERO, vec![a.clone()]);
+    let feeds = [Some(FeedAge {
+        version: 5,
+        changed: 5,
+        age_ms: 100,
+    })];
+    let second = Duration::from_secs(1);
+    let (hub, other, hub_id, other_id) = if one.is_hub(Time::ZERO) {
+        (&mut one, &mut two, a.id, b.id)
+    } else {
+        (&mut two, &mut one, b.id, a.id)
+    };
+    let asked = other.tick(second, &BTreeMap::new(), &[]).remove(0);
+    hub.pulse(second, &other_id, asked.pulse);
+    let told = hub.tick(second, &BTreeMap::new(), &feeds).remove(0);
+    // The connection delivers it four seconds later.
+    let proof = other.pulse(second * 5, &hub_id, told.pulse);
+    let (_, at) = proof[0].expect("a proof");
+    assert!(at <= second, "{at:?}");
+}
+
+#[test]
+fn an_instance_that_stops_is_told_of_as_leaving() {
+    let mut net = Net::new(9, 3);
+    net.run(Duration::from_secs(2));
+    let leaving = listing(5, 3).id;
+    net.fleets.get_mut(&leaving).expect("known").leave();
+    net.run(Duration::from_secs(2));
+    for fleet in net.fleets.values() {
+        let live = fleet.live(net.now);
+        assert!(live.iter().all(|l| l.id != leaving));
+    }
+}
+
+fn row(key: &str, version: u64, value: Option<&str>) -> FeedRow {
+    FeedRow {
+        key: key.into(),
+        version,
+        value: value.map(|v| v.as_bytes().to_vec()),
+    }
+}
+
+fn news(since: Option<u64>, version: u64, rows: Vec<FeedRow>) -> FeedNews {
+    FeedNews {
+        since,
+        version,
+        rows,
+    }
+}
+
+#[test]
+fn a_feed_takes_changes_in_any_order_and_never_goes_back() {
+    let mut feed = Feed::default();
+    assert_eq!(
+        feed.apply(news(Some(3), 4, vec![])),
+        Applied::Gap,
+        "nothing is known yet"
+    );
+    let all = vec![row("a", 2, Some("x")), row("b", 3, Some("y"))];
+    assert!(matches!(
+        feed.apply(news(None, 4, all)),
+        Applied::Changed(rows) if rows.len() == 2
+    ));
+    assert_eq!(feed.apply(news(Some(6), 7, vec![])), Applied::Gap);
+    let changed = feed.apply(news(Some(4), 8, vec![row("a", 8, None)]));
+    assert_eq!(changed, Applied::Changed(vec![row("a", 8, None)]));
+    assert_eq!(
+        feed.apply(news(None, 6, vec![row("a", 2, Some("x"))])),
+        Applied::Old,
+        "a list from before the removal"
+    );
+    let again = feed.apply(news(Some(4), 9, vec![row("b", 3, Some("y"))]));
+    assert_eq!(again, Applied::Changed(Vec::new()));
+    assert_eq!(feed.version(), Some(9));
+}
+
+#[test]
+fn a_list_that_lacks_a_row_removes_it() {
+    let mut feed = Feed::default();
+    feed.apply(news(None, 2, vec![row("a", 1, Some("x"))]));
+    let changed = feed.apply(news(None, 5, vec![row("b", 4, Some("y"))]));
+    let Applied::Changed(rows) = changed else {
+        panic!("{changed:?}");
+    };
+    assert_eq!(rows, [row("a", 1, None), row("b", 4, Some("y"))]);
+}
+
+#[test]
+fn only_a_copy_that_holds_all_changes_is_proved_new() {
+    let mut feed = Feed::default();
+    let second = Duration::from_secs(1);
+    assert!(!feed.verify(4, 4, second), "nothing is known yet");
+    feed.apply(news(None, 4, vec![row("a", 2, Some("x"))]));
+    assert!(feed.verify(9, 3, second), "other tables have changed");
+    assert_eq!(feed.version(), Some(9));
+    assert!(!feed.verify(12, 11, second * 2), "a change is missing");
+    assert!(!feed.verify(8, 3, second * 2), "an older copy");
+    assert_eq!(feed.verified(), Some(second));
+}
--- /dev/null
+++ b/crates/decision/tests/router.rs
@@ -0,0 +1,393 @@
+//! Admission, choice of targets and limits on the operators' platform.
+
+use decision::{
+    Admission, Catalog, Ending, KeyOwner, Need, Prompt, Refusal, Repeat, Route, Router,
+    RouterBounds, ServiceSpec, Stage, TargetEntry, TargetId, Time,
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+const KEY_AGE: Duration = Duration::from_secs(4);
+
+fn bounds() -> RouterBounds {
+    RouterBounds {
+        key_age: KEY_AGE,
+        retry_ratio: 0.2,
+        retry_slack: 100.0,
+        cold_excess: 1.5,
+        cold_slack: 5.0,
+        load_multiple: 2.0,
+    }
+}
+
+fn route(prefix: &str, split: &[(&str, u32)], public: bool) -> Route {
+    Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: SECOND,
+        goal: SECOND,
+        gap: Duration::ZERO,
+        rank: 3,
+        attempts: 2,
+        public,
+        prompts: true,
+        split: split.iter().map(|(s, w)| ((*s).into(), *w)).collect(),
+    }
+}
+
+fn catalog(version: u64, keys: &[(&str, &str)]) -> Catalog {
+    let mut catalog = Catalog::default();
+    catalog.version = version;
+    catalog.services.insert(
+        "pool".into(),
+        ServiceSpec {
+            cold_time: SECOND * 3,
+            cold_rate: 18.0,
+            engine: true,
+            memory: 1_000,
+        },
+    );
+    let owner = |workspace: &str| KeyOwner {
+        workspace: workspace.into(),
+        rank: Some(1),
+    };
+    let keys = keys.iter().map(|(k, w)| ((*k).into(), owner(w)));
+    catalog.keys = Some(keys.collect());
+    catalog.add_route("host".into(), route("/a/", &[("pool", 1)], false));
+    catalog.add_route("host".into(), route("/a/open/", &[("pool", 1)], true));
+    catalog
+}
+
+fn entry(number: u16, cold: Duration) -> TargetEntry {
+    TargetEntry {
+        service: "pool".into(),
+        address: ([10, 0, 0, 1], number).into(),
+        domain: if number % 2 == 0 { "even" } else { "odd" }.into(),
+        slots: 64,
+        stage: Stage::Ready,
+        cold_left: cold,
+        born: 1,
+    }
+}
+
+fn id(number: u16) -> TargetId {
+    format!("t{number}").into()
+}
+
+/// Router with a configuration proved at time zero and so many warm targets.
+fn router(targets: u16) -> Router {
+    let mut router = Router::new(bounds());
+    router.configure(catalog(1, &[("key", "acme")]));
+    router.verified(Time::ZERO);
+    for number in 0..targets {
+        router.target(Time::ZERO, &id(number), Some(entry(number, Duration::ZERO)));
+    }
+    router
+}
+
+fn admit(router: &Router, now: Time, path: &str, key: Option<&str>) -> Result<Admission, Refusal> {
+    router.admit(now, "host", path, key, 0)
+}
+
+fn prompt(subject: u64) -> Need<'static> {
+    static POOL: std::sync::LazyLock<decision::ServiceId> =
+        std::sync::LazyLock::new(|| "pool".into());
+    Need {
+        service: &POOL,
+        prompt: Some(Prompt {
+            subject,
+            tokens: 1_000,
+        }),
+        hash: subject,
+        tried: &[],
+    }
+}
+
+#[test]
+fn the_longest_prefix_selects_the_route() {
+    let router = router(1);
+    let whole = admit(&router, Time::ZERO, "/a/open/x", None).expect("public");
+    assert_eq!(whole.route.prefix, "/a/open/");
+    let part = admit(&router, Time::ZERO, "/a/opening", Some("key")).expect("keyed");
+    assert_eq!(part.route.prefix, "/a/");
+    assert_eq!(part.workspace.as_deref(), Some("acme"));
+    assert_eq!(part.rank, 1, "the workspace's rank goes before the route's");
+    let none = admit(&router, Time::ZERO, "/ab/x", Some("key"));
+    assert_eq!(none, Err(Refusal::NoRoute));
+    let other = router.admit(Time::ZERO, "other", "/a/x", Some("key"), 0);
+    assert_eq!(other, Err(Refusal::NoRoute));
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let route = route("/", &[("one", 90), ("two", 10), ("none", 0)], true);
+    let mut counts = BTreeMap::new();
+    for hash in 0..1_000 {
+        *counts.entry(route.service(hash).cloned()).or_insert(0) += 1;
+    }
+    assert_eq!(counts[&Some("one".into())], 900);
+    assert_eq!(counts[&Some("two".into())], 100);
+    assert_eq!(counts.len(), 2);
+}
+
+#[test]
+fn an_instance_that_knows_nothing_promises_nothing_false() {
+    let router = Router::new(bounds());
+    let refused = admit(&router, Time::ZERO, "/a/x", Some("key"));
+    assert_eq!(refused, Err(Refusal::Unconfigured));
+}
+
+#[test]
+fn keys_fail_closed_when_the_configuration_is_old() {
+    let router = router(1);
+    assert!(admit(&router, KEY_AGE - SECOND, "/a/x", Some("key")).is_ok());
+    // Neither an unknown key nor an unknown path may be denied by an old copy.
+    for (path, key) in [("/a/x", "key"), ("/a/x", "new"), ("/new/x", "key")] {
+        let refused = admit(&router, KEY_AGE, path, Some(key));
+        assert_eq!(refused, Err(Refusal::Stale), "{path} {key}");
+    }
+    assert!(admit(&router, KEY_AGE, "/a/open/x", None).is_ok());
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut router = router(1);
+    assert!(router.configure(catalog(7, &[])));
+    assert!(!router.configure(catalog(3, &[("key", "acme")])));
+    assert!(!router.configure(catalog(7, &[("key", "acme")])));
+    let refused = admit(&router, Time::ZERO, "/a/x", Some("key"));
+    assert_eq!(refused, Err(Refusal::BadKey));
+}
+
+#[test]
+fn proof_of_an_older_copy_does_not_shorten_a_newer_one() {
+    let mut router = router(1);
+    router.verified(SECOND * 3);
+    router.verified(SECOND);
+    assert!(router.freshness().holds(SECOND * 6));
+    assert!(!router.freshness().holds(SECOND * 7));
+}
+
+#[test]
+fn a_hot_prompt_spreads_before_its_home_passes_the_bound() {
+    let mut router = router(10);
+    let mut loads: BTreeMap<TargetId, u32> = BTreeMap::new();
+    for request in 1..=400_u32 {
+        // Nine in ten requests share one prompt.
+        let subject = if request % 10 == 0 {
+            u64::from(request)
+        } else {
+            1
+        };
+        let pick = router
+            .choose(Time::ZERO, &prompt(subject))
+            .expect("a target");
+        let load = loads.entry(pick.lease.target).or_insert(0);
+        *load += 1;
+        let mean = f64::from(request) / 10.0;
+        assert!(
+            f64::from(*load) <= 2.0 * mean + 3.0,
+            "{load} at a mean of {mean}"
+        );
+    }
+}
+
+#[test]
+fn requests_of_others_count_towards_the_bound() {
+    let mut router = router(4);
+    let home = router.choose(Time::ZERO, &prompt(9)).expect("a target");
+    let others = BTreeMap::from([(home.lease.target.clone(), 40)]);
+    router.others(&others);
+    let next = router.choose(Time::ZERO, &prompt(9)).expect("a target");
+    assert_ne!(next.lease.target, home.lease.target);
+    assert_eq!(
+        next.fetch,
+        Some(home.address),
+        "its prompt lies at its home"
+    );
+}
+
+#[test]
+fn a_prompt_returns_to_its_home_on_every_instance() {
+    let (mut one, mut two) = (router(8), router(8));
+    for subject in 0..50 {
+        let a = one.choose(Time::ZERO, &prompt(subject)).expect("a target");
+        let b = two.choose(Time::ZERO, &prompt(subject)).expect("a target");
+        one.ended(Time::ZERO, &a.lease, Ending::Whole);
+        two.ended(Time::ZERO, &b.lease, Ending::Whole);
+        assert_eq!(a.lease.target, b.lease.target);
+    }
+}
+
+#[test]
+fn targets_that_drain_or_stand_in_a_domain_that_is_out_get_nothing() {
+    let mut router = router(4);
+    let draining = TargetEntry {
+        stage: Stage::Draining,
+        ..entry(1, Duration::ZERO)
+    };
+    router.target(Time::ZERO, &id(1), Some(draining));
+    router.evacuate(&"even".into(), true);
+    for subject in 0..40 {
+        let pick = router
+            .choose(Time::ZERO, &prompt(subject))
+            .expect("a target");
+        assert_eq!(pick.lease.target, id(3));
+    }
+    router.target(Time::ZERO, &id(3), None);
+    assert_eq!(
+        router.choose(Time::ZERO, &prompt(1)),
+        Err(Refusal::NoTarget)
+    );
+    router.evacuate(&"even".into(), false);
+    assert!(router.choose(Time::ZERO, &prompt(1)).is_ok());
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_may_come_back() {
+    let mut router = router(2);
+    router.hold_lapsed(SECOND * 2);
+    router.target(SECOND, &id(0), None);
+    router.target(SECOND, &id(1), None);
+    assert!(router.choose(SECOND, &prompt(1)).is_ok());
+    router.target(SECOND, &id(1), Some(entry(1, Duration::ZERO)));
+    assert_eq!(router.sweep(SECOND * 2), [id(0)]);
+    for subject in 0..10 {
+        let pick = router
+            .choose(SECOND * 2, &prompt(subject))
+            .expect("a target");
+        assert_eq!(pick.lease.target, id(1));
+    }
+    router.target(SECOND * 3, &id(1), None);
+    assert_eq!(
+        router.choose(SECOND * 3, &prompt(1)),
+        Err(Refusal::NoTarget)
+    );
+}
+
+#[test]
+fn a_target_that_starts_again_is_counted_anew() {
+    let mut router = router(1);
+    let old = router.choose(Time::ZERO, &prompt(1)).expect("a target");
+    let again = TargetEntry {
+        born: 2,
+        ..entry(0, Duration::ZERO)
+    };
+    router.target(SECOND, &id(0), Some(again));
+    let new = router.choose(SECOND, &prompt(1)).expect("a target");
+    router.ended(SECOND, &old.lease, Ending::Broken);
+    assert_eq!(
+        router.own_loads()[&id(0)],
+        1,
+        "the old life's end is not its own"
+    );
+    router.ended(SECOND, &new.lease, Ending::Whole);
+    assert!(router.own_loads().is_empty());
+}
+
+#[test]
+fn a_target_that_fails_is_set_aside_and_tried_again() {
+    let mut router = router(2);
+    let sick = router.choose(Time::ZERO, &prompt(5)).expect("a target");
+    let sick_id = sick.lease.target.clone();
+    router.ended(Time::ZERO, &sick.lease, Ending::Broken);
+    for _ in 0..5 {
+        let pick = router.choose(Time::ZERO, &prompt(5)).expect("a target");
+        let is_sick = pick.lease.target == sick_id;
+        let ending = if is_sick {
+            Ending::Broken
+        } else {
+            Ending::Whole
+        };
+        router.ended(Time::ZERO, &pick.lease, ending);
+    }
+    let pick = router.choose(Time::ZERO, &prompt(5)).expect("a target");
+    assert_ne!(pick.lease.target, sick_id);
+    router.ended(Time::ZERO, &pick.lease, Ending::Whole);
+    let later = router.choose(SECOND * 2, &prompt(5)).expect("a target");
+    assert_eq!(later.lease.target, sick_id);
+}
+
+#[test]
+fn a_pool_that_fails_as_a_whole_is_still_tried() {
+    let mut router = router(2);
+    for subject in 0..20 {
+        let pick = router
+            .choose(Time::ZERO, &prompt(subject))
+            .expect("a target");
+        router.ended(Time::ZERO, &pick.lease, Ending::Broken);
+    }
+    assert!(router.choose(Time::ZERO, &prompt(1)).is_ok());
+}
+
+proptest! {
+    /// However many instances send to a cold target, with or without news of
+    /// each other, no second has more requests than the operators allow.
+    #[test]
+    fn cold_targets_bear_all_instances_together(
+        instances in 1_usize..400,
+        targets in 1_u16..4,
+        offsets in proptest::collection::vec(0_u64..1_000, 16),
+    ) {
+        let cold = SECOND * 4;
+        let mut sent: BTreeMap<TargetId, Vec<u64>> = BTreeMap::new();
+        for position in 0..instances {
+            let mut router = router(0);
+            router.share_of(instances, position);
+            for number in 0..targets {
+                router.target(Time::ZERO, &id(number), Some(entry(number, cold)));
+            }
+            let mut at = offsets[position % offsets.len()];
+            while at < 3_000 {
+                let now = Duration::from_millis(at);
+                while let Ok(pick) = router.choose(now, &prompt(at)) {
+                    sent.entry(pick.lease.target).or_default().push(at);
+                }
+                at += 50;
+            }
+        }
+        // 18 a second, by half more, and 5.
+        for times in sent.values() {
+            for start in times {
+                let second = times.iter().filter(|t| (*start..start + 1_000).contains(*t));
+                prop_assert!(second.count() <= 32);
+            }
+        }
+    }
+
+    /// Instances that share the retry budget stay within it together, also
+    /// those that have just started and know nothing of the others.
+    #[test]
+    fn retries_stay_within_the_budget_of_all(
+        instances in 1_usize..120,
+        requests in 0_u32..40,
+        restarted in 0_usize..120,
+    ) {
+        let mut retries = 0_u32;
+        let pool = decision::ServiceId::from("pool");
+        for position in 0..instances {
+            let mut router = router(1);
+            if position >= restarted {
+                router.share_of(instances, position);
+            }
+            let window = (0..100_u64).map(|tenth| SECOND + Duration::from_millis(tenth * 100));
+            for (tenth, now) in window.enumerate() {
+                if tenth == 10 {
+                    router.share_of(instances, position);
+                }
+                if (tenth as u32) < requests {
+                    router.count(&pool);
+                }
+                while router.retry(now, &pool) {
+                    retries += 1;
+                }
+            }
+        }
+        let allowed = 0.2 * f64::from(requests) * instances as f64 + 100.0;
+        // Each instance begins with one token.
+        prop_assert!(f64::from(retries) <= allowed + instances as f64, "{retries} of {allowed}");
+    }
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Pulses and news between instances.
 
 use crate::state::{Gap, TABLES};
-use crate::{Error, Result, Shared};
+use crate::{Error, Result, Settings, Shared};
 use decision::{FeedNews, InstanceId, Message, Pulse};
 use peer::{Mesh as _, PeerEvent, WsMesh};
 use std::sync::Arc;
@@ -17,19 +17,24 @@
 #[derive(Clone)]
 pub(crate) struct Mesh(Arc<WsMesh>);
 
-/// Starts the mesh and the pulses.
-pub(crate) async fn start(gateway: &Shared) -> Result<Mesh> {
+/// Opens the socket of the mesh.
+pub(crate) async fn bind(
+    settings: &mut Settings,
+    incarnation: u64,
+) -> Result<(Mesh, flume::Receiver<PeerEvent>)> {
     let (sender, events) = flume::bounded(EVENTS_WAITING);
-    let (instance, listen) = {
-        let settings = gateway.settings.borrow();
-        (settings.instance.clone(), settings.listen.peers)
-    };
-    let mesh = WsMesh::builder(instance, gateway.incarnation, listen, sender)
+    let (instance, listen) = (settings.instance.clone(), settings.listen.peers);
+    let mesh = WsMesh::builder(instance, incarnation, listen, sender)
         .private_network()
         .start()
         .await
         .map_err(|source| Error::Mesh { source })?;
-    let mesh = Mesh(mesh);
+    settings.listen.peers = mesh.local();
+    Ok((Mesh(mesh), events))
+}
+
+/// Starts to receive and to send pulses.
+pub(crate) fn start(gateway: &Shared, mesh: &Mesh, events: flume::Receiver<PeerEvent>) {
     let (receiving, receiver) = (gateway.clone(), mesh.clone());
     tokio::task::spawn_local(async move {
         while let Ok(event) = events.recv_async().await {
@@ -43,7 +48,6 @@
             tokio::time::sleep(PULSE).await;
         }
     });
-    Ok(mesh)
 }
 
 impl Mesh {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 use state::Gateway;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Result with this package's [`enum@Error`].
 pub type Result<T> = std::result::Result<T, Error>;
@@ -58,22 +59,74 @@
     },
 }
 
-/// Runs an instance until it is told to stop and its last request has ended.
-///
-/// Must be called within a [`tokio::task::LocalSet`].
-///
-/// # Errors
-///
-/// Fails where an address can't be listened on.
-pub async fn run(
-    settings: Settings,
-    reread: impl Fn() -> Option<Settings> + 'static,
-) -> Result<()> {
-    let gateway = Gateway::new(settings);
-    let mesh = fleet::start(&gateway).await?;
-    server::start(&gateway).await?;
-    watch::start(&gateway, &mesh);
-    server::until_stopped(&gateway, &mesh, reread).await
+/// A running instance; lives on one thread, within a [`tokio::task::LocalSet`].
+pub struct Instance {
+    gateway: Shared,
+    mesh: fleet::Mesh,
+}
+
+impl Instance {
+    /// Opens the sockets and begins to serve. Ports of 0 are replaced by free
+    /// ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address can't be listened on.
+    pub async fn start(mut settings: Settings) -> Result<Instance> {
+        let incarnation = state::incarnation();
+        let listeners = server::bind(&mut settings.listen).await?;
+        let (mesh, events) = fleet::bind(&mut settings, incarnation).await?;
+        let gateway = Gateway::new(settings, incarnation);
+        fleet::start(&gateway, &mesh, events);
+        server::start(&gateway, listeners);
+        watch::start(&gateway, &mesh);
+        Ok(Instance { gateway, mesh })
+    }
+
+    /// Addresses on which it listens.
+    pub fn listen(&self) -> Listen {
+        self.gateway.settings.borrow().listen.clone()
+    }
+
+    /// Takes settings that have changed; addresses stay as they are bound.
+    pub fn reload(&self, settings: Option<Settings>) {
+        server::reload(&self.gateway, settings);
+    }
+
+    /// Leaves the directory, serves whoever comes with an old lookup, closes
+    /// idle connections and returns when the last request has ended.
+    pub async fn stop(&self) {
+        server::stop(&self.gateway, &self.mesh).await;
+    }
+
+    /// Serves until a signal stops it. `reread` reads the settings again.
+    ///
+    /// # Errors
+    ///
+    /// Fails where signals can't be handled.
+    pub async fn until_stopped(&self, reread: impl Fn() -> Option<Settings>) -> Result<()> {
+        let signals = |kind| signal(kind).map_err(|source| Error::Signals { source });
+        let mut terminate = signals(SignalKind::terminate())?;
+        let mut interrupt = signals(SignalKind::interrupt())?;
+        let mut hangup = signals(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => self.reload(reread()),
+            }
+        }
+        let mut stopping = std::pin::pin!(self.stop());
+        loop {
+            tokio::select! {
+                () = stopping.as_mut() => return Ok(()),
+                // Further signals don't hurry a shutdown.
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+                _ = hangup.recv() => self.reload(reread()),
+            }
+        }
+    }
 }
 
 pub(crate) type Shared = Rc<Gateway>;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,7 +3,7 @@
 use crate::fleet::Mesh;
 use crate::relay::{Outlet, whole};
 use crate::state::Phase;
-use crate::{Error, Result, Settings, Shared, control, forward, watch};
+use crate::{Error, Listen, Result, Settings, Shared, control, forward, watch};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,7 +15,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Bytes of a connection's buffer at least; hyper allows no less.
 const BUFFER_MIN: usize = 8 << 10;
@@ -33,37 +32,49 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Role {
+pub(crate) enum Role {
     Callers,
     Ready,
     Directory,
     Control,
 }
 
-/// Opens the listening sockets and serves them.
-pub(crate) async fn start(gateway: &Shared) -> Result<()> {
-    let listen = gateway.settings.borrow().listen.clone();
+/// Open listening sockets.
+pub(crate) struct Listeners(Vec<(Role, TcpListener)>);
+
+/// Opens the listening sockets.
+pub(crate) async fn bind(listen: &mut Listen) -> Result<Listeners> {
     let roles = [
-        (Role::Callers, "listen for callers", listen.callers),
-        (Role::Ready, "listen for checks", listen.ready),
-        (Role::Directory, "listen for lookups", listen.directory),
-        (Role::Control, "listen for control", listen.control),
+        (Role::Callers, "listen for callers", &mut listen.callers),
+        (Role::Ready, "listen for checks", &mut listen.ready),
+        (Role::Directory, "listen for lookups", &mut listen.directory),
+        (Role::Control, "listen for control", &mut listen.control),
     ];
+    let mut listeners = Vec::new();
     for (role, step, address) in roles {
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.map_err(|source| Error::Listen {
+        let failed = |source| Error::Listen {
             step,
-            address,
+            address: *address,
             source,
-        })?;
+        };
+        let listener = TcpListener::bind(*address).await.map_err(failed)?;
+        *address = listener.local_addr().map_err(failed)?;
+        listeners.push((role, listener));
+    }
+    Ok(Listeners(listeners))
+}
+
+/// Serves the listening sockets.
+pub(crate) fn start(gateway: &Shared, listeners: Listeners) {
+    for (role, listener) in listeners.0 {
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move { accept(&gateway, listener, role).await });
     }
+    let listen = gateway.settings.borrow().listen.clone();
     gateway.record.belief(&json!({
         "event": "started", "callers": listen.callers, "peers": listen.peers,
         "incarnation": gateway.incarnation,
     }));
-    Ok(())
 }
 
 async fn accept(gateway: &Shared, listener: TcpListener, role: Role) {
@@ -175,37 +186,8 @@
     response
 }
 
-/// Handles signals until the instance has stopped.
-pub(crate) async fn until_stopped(
-    gateway: &Shared,
-    mesh: &Mesh,
-    reread: impl Fn() -> Option<Settings>,
-) -> Result<()> {
-    let signals = |kind| signal(kind).map_err(|source| Error::Signals { source });
-    let mut terminate = signals(SignalKind::terminate())?;
-    let mut interrupt = signals(SignalKind::interrupt())?;
-    let mut hangup = signals(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(gateway, reread()),
-        }
-    }
-    let stopping = stop(gateway, mesh);
-    let mut stopping = std::pin::pin!(stopping);
-    loop {
-        tokio::select! {
-            () = stopping.as_mut() => return Ok(()),
-            // Further signals don't hurry a shutdown.
-            _ = terminate.recv() => {}
-            _ = hangup.recv() => reload(gateway, reread()),
-        }
-    }
-}
-
 /// Takes settings that have changed; addresses stay as they are bound.
-fn reload(gateway: &Shared, settings: Option<Settings>) {
+pub(crate) fn reload(gateway: &Shared, settings: Option<Settings>) {
     let Some(mut settings) = settings else {
         gateway
             .record
@@ -222,7 +204,7 @@
 
 /// Leaves the directory, serves whoever comes with an old lookup, closes idle
 /// connections and ends when the last request has ended.
-async fn stop(gateway: &Shared, mesh: &Mesh) {
+pub(crate) async fn stop(gateway: &Shared, mesh: &Mesh) {
     let begun = gateway.now();
     let grace = gateway.settings.borrow().bounds.grace;
     gateway.record.belief(&json!({
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -65,7 +65,7 @@
 }
 
 impl Gateway {
-    pub(crate) fn new(settings: Settings) -> Shared {
+    pub(crate) fn new(settings: Settings, incarnation: u64) -> Shared {
         let bounds = RouterBounds {
             key_age: settings.bounds.key_age.mul_f64(KEY_AGE_SHARE),
             retry_ratio: settings.bounds.retry_ratio,
@@ -74,8 +74,6 @@
             cold_slack: settings.bounds.cold_slack,
             load_multiple: settings.bounds.load_multiple,
         };
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let incarnation = since_epoch.map_or(1, |t| t.as_millis() as u64);
         let listing = Listing {
             id: settings.instance.clone(),
             domain: settings.domain.clone(),
@@ -234,6 +232,12 @@
     }
 }
 
+/// Life of a process that starts now: milliseconds since the Unix epoch.
+pub(crate) fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(1, |t| t.as_millis() as u64)
+}
+
 /// Something between what is known and the news is missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Gap;
