Spread hot subjects ahead of the bound, and draw it for each request

Change: instances tell the recent requests of their most frequent subjects with their loads; a subject is spread over as many targets as bear it, and the bound of each request is drawn between 0.6 and 0.85 of the multiple. Retries use the slack of the budget only 3 s after the start.

--- a/crates/decision/src/fleet.rs
+++ b/crates/decision/src/fleet.rs
@@ -25,8 +25,8 @@
 /// Time after which an instance that is silent is forgotten; until then it
 /// keeps its share of the limits, because it may only be out of touch.
 const FORGET: Duration = Duration::from_secs(20);
-/// Age at which loads told by others are no longer counted.
-const LOADS_AGE: Duration = Duration::from_millis(1_500);
+/// Age at which work told by others is no longer counted.
+const WORK_AGE: Duration = Duration::from_millis(1_500);
 /// Silence of the hubs after which an instance is no longer told who is heard.
 const PULSE_LATE: Duration = Duration::from_millis(600);
 /// Longest time for which a connection holds a pulse up, in milliseconds: a
@@ -34,7 +34,9 @@
 const LATE_MAX_MS: u64 = 3_000;
 /// Pulses of a hub of which one tells all instances; the others tell the hub.
 const LISTS: u64 = 3;
-/// Own pulses whose loads are remembered until a hub's answer.
+/// Subjects that a hub's pulse names.
+const SUBJECTS: usize = 16;
+/// Own pulses whose work is remembered until a hub's answer.
 const PULSES: usize = 16;
 
 /// What a pulse's loads cover.
@@ -79,6 +81,54 @@
     pub age_ms: u32,
 }
 
+/// Work that instances have at targets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Requests at each target.
+    #[serde(rename = "t", default)]
+    pub targets: BTreeMap<TargetId, u32>,
+    /// Recent requests of the most frequent subjects, in hundredths.
+    #[serde(rename = "s", default)]
+    pub subjects: BTreeMap<u64, u32>,
+}
+
+impl Work {
+    /// Adds the work of others.
+    pub fn add(&mut self, other: &Work) {
+        for (target, load) in &other.targets {
+            *self.targets.entry(target.clone()).or_insert(0) += load;
+        }
+        for (subject, count) in &other.subjects {
+            *self.subjects.entry(*subject).or_insert(0) += count;
+        }
+    }
+
+    /// Takes off work that was counted twice.
+    fn subtract(&mut self, other: &Work) {
+        for (target, load) in &other.targets {
+            if let Some(all) = self.targets.get_mut(target) {
+                *all = all.saturating_sub(*load);
+            }
+        }
+        for (subject, count) in &other.subjects {
+            if let Some(all) = self.subjects.get_mut(subject) {
+                *all = all.saturating_sub(*count);
+            }
+        }
+    }
+
+    /// Keeps the most frequent subjects.
+    pub fn keep_subjects(&mut self, most: usize) {
+        if self.subjects.len() <= most {
+            return;
+        }
+        let mut counts: Vec<u32> = self.subjects.values().copied().collect();
+        counts.sort_unstable_by(|a, b| b.cmp(a));
+        let least = counts[most];
+        self.subjects.retain(|_, count| *count > least);
+    }
+}
+
 /// What one instance tells another a few times a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pulse {
@@ -94,9 +144,9 @@
     /// Instances, the sender included.
     #[serde(rename = "m")]
     pub heard: Vec<Heard>,
-    /// Requests at targets.
+    /// Work at targets.
     #[serde(rename = "l", default)]
-    pub loads: Vec<(TargetId, u32)>,
+    pub work: Work,
     /// Copies of the store's tables, in a fixed order.
     #[serde(rename = "f", default)]
     pub feeds: Vec<Option<FeedAge>>,
@@ -128,7 +178,7 @@
     pulse_ms: Option<u64>,
     /// When its last pulse came, and what its loads covered.
     told: Option<(Time, Scope)>,
-    loads: BTreeMap<TargetId, u32>,
+    work: Work,
     /// Estimated moments at which its copies were the newest.
     feeds: Vec<Option<Time>>,
 }
@@ -142,10 +192,10 @@
     ticks: u64,
     /// Instance that is taken for the hub of the domain, and since when.
     trial: Option<(InstanceId, Time)>,
-    /// Own loads by the time of the pulse that told them.
-    told: VecDeque<(u64, BTreeMap<TargetId, u32>)>,
-    /// Loads of the whole fleet but for this instance, and when they came.
-    others: Option<(Time, BTreeMap<TargetId, u32>)>,
+    /// Own work by the time of the pulse that told it.
+    told: VecDeque<(u64, Work)>,
+    /// Work of the whole fleet but for this instance, and when it came.
+    others: Option<(Time, Work)>,
 }
 
 impl Fleet {
@@ -179,7 +229,7 @@
             failed: None,
             pulse_ms: None,
             told: None,
-            loads: BTreeMap::new(),
+            work: Work::default(),
             feeds: Vec::new(),
             listing,
         };
@@ -251,11 +301,10 @@
         peer.feeds = estimates
             .map(|f| f.as_ref().map(|f| now.saturating_sub(age(f))))
             .collect();
-        let loads: BTreeMap<TargetId, u32> = pulse.loads.into_iter().collect();
         if pulse.scope == Scope::All {
-            self.take_total(now, pulse.echo_ms, loads);
+            self.take_total(now, pulse.echo_ms, pulse.work);
         } else {
-            peer.loads = loads;
+            peer.work = pulse.work;
         }
         let Some(echo) = pulse.echo_ms.map(Duration::from_millis) else {
             return Proof::new();
@@ -269,16 +318,12 @@
             .collect()
     }
 
-    /// Takes the fleet's loads; this instance's own, as it had told them, are
-    /// taken off.
-    fn take_total(&mut self, now: Time, echo_ms: Option<u64>, mut total: BTreeMap<TargetId, u32>) {
+    /// Takes the fleet's work; this instance's own, as it had told it, is taken
+    /// off.
+    fn take_total(&mut self, now: Time, echo_ms: Option<u64>, mut total: Work) {
         let own = self.told.iter().find(|(at, _)| Some(*at) == echo_ms);
         if let Some((_, own)) = own {
-            for (target, load) in own {
-                if let Some(all) = total.get_mut(target) {
-                    *all = all.saturating_sub(*load);
-                }
-            }
+            total.subtract(own);
         }
         self.others = Some((now, total));
     }
@@ -377,39 +422,30 @@
             .map(|((at, _), peer)| (at, peer))
     }
 
-    /// Requests of all other instances at each target.
-    pub fn others(&self, now: Time) -> BTreeMap<TargetId, u32> {
+    /// Work of all other instances.
+    pub fn others(&self, now: Time) -> Work {
         if self.is_hub(now) {
             return self.sum(now, |_| true);
         }
         let fresh = self.others.as_ref();
-        let fresh = fresh.filter(|(at, _)| now.saturating_sub(*at) < LOADS_AGE);
-        fresh.map(|(_, loads)| loads.clone()).unwrap_or_default()
+        let fresh = fresh.filter(|(at, _)| now.saturating_sub(*at) < WORK_AGE);
+        fresh.map(|(_, work)| work.clone()).unwrap_or_default()
     }
 
-    fn sum(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> BTreeMap<TargetId, u32> {
-        let mut sum = BTreeMap::new();
-        for peer in self.peers.values().filter(|p| wanted(p)) {
-            let is_fresh = peer.told.is_some_and(|(at, scope)| {
-                scope != Scope::All && now.saturating_sub(at) < LOADS_AGE
-            });
-            if !is_fresh {
-                continue;
-            }
-            for (target, load) in &peer.loads {
-                *sum.entry(target.clone()).or_insert(0) += load;
-            }
+    fn sum(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Work {
+        let is_fresh = |peer: &Peer| {
+            peer.told
+                .is_some_and(|(at, scope)| scope != Scope::All && now.saturating_sub(at) < WORK_AGE)
+        };
+        let mut sum = Work::default();
+        for peer in self.peers.values().filter(|p| wanted(p) && is_fresh(p)) {
+            sum.add(&peer.work);
         }
         sum
     }
 
     /// Forgets instances that have been silent for long, and says what to send.
-    pub fn tick(
-        &mut self,
-        now: Time,
-        own: &BTreeMap<TargetId, u32>,
-        feeds: &[Option<FeedAge>],
-    ) -> Vec<Outgoing> {
+    pub fn tick(&mut self, now: Time, own: &Work, feeds: &[Option<FeedAge>]) -> Vec<Outgoing> {
         self.peers
             .retain(|_, p| now.saturating_sub(p.heard) < FORGET);
         self.ticks += 1;
@@ -419,25 +455,29 @@
         if self.told.len() > PULSES {
             self.told.pop_front();
         }
-        let pulse = |scope, heard, loads: BTreeMap<TargetId, u32>| Pulse {
+        let pulse = |scope, heard, work| Pulse {
             at_ms,
             echo_ms: None,
             scope,
             heard,
-            loads: loads.into_iter().collect(),
+            work,
             feeds: feeds.to_vec(),
         };
         let mut out = Vec::new();
         if self.is_hub(now) {
             let domain = self.me.domain.clone();
             let is_here = |p: &Peer| p.listing.domain == domain;
-            let domain_loads = add(self.sum(now, is_here), own);
-            let all_loads = add(self.sum(now, |_| true), own);
+            let mut domain_work = self.sum(now, is_here);
+            domain_work.add(own);
+            domain_work.keep_subjects(SUBJECTS);
+            let mut all_work = self.sum(now, |_| true);
+            all_work.add(own);
+            all_work.keep_subjects(SUBJECTS);
             let tells_all = self.ticks.is_multiple_of(LISTS);
             let to_hubs = self.heard(now, |p| tells_all && is_here(p));
-            let to_hubs = pulse(Scope::Domain, to_hubs, domain_loads);
+            let to_hubs = pulse(Scope::Domain, to_hubs, domain_work);
             let to_domain = self.heard(now, |_| tells_all);
-            let to_domain = pulse(Scope::All, to_domain, all_loads);
+            let to_domain = pulse(Scope::All, to_domain, all_work);
             for hub in self.other_hubs(now) {
                 self.send(&mut out, &hub, &to_hubs);
             }
@@ -504,10 +544,3 @@
         std::iter::once(me).chain(others).collect()
     }
 }
-
-fn add(mut sum: BTreeMap<TargetId, u32>, own: &BTreeMap<TargetId, u32>) -> BTreeMap<TargetId, u32> {
-    for (target, load) in own {
-        *sum.entry(target.clone()).or_insert(0) += load;
-    }
-    sum
-}
--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -5,18 +5,18 @@
 use crate::catalog::Stage;
 use crate::hash::rank;
 use crate::id::{ServiceId, TargetId, Time};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Share of the load multiple that is used: loads told by others are late.
-const BOUND_SHARE: f64 = 0.8;
+/// Shares of the load multiple between which a request's bound is drawn. The
+/// loads of others are told late: with one bound for all, every instance sends
+/// to a target until it hears that the target is full.
+const BOUND_SHARES: (f64, f64) = (0.6, 0.85);
 /// Requests above the multiple of the mean that a target may have.
 const BOUND_SLACK: f64 = 2.0;
 /// Share of a cold target's limit that all instances use together.
 const COLD_SHARE: f64 = 0.8;
-/// Prompts whose last place is remembered.
-const PLACES: usize = 2_000;
 /// Time for which a target that has just come may lack its prompts.
 const SETTLED: Duration = Duration::from_secs(20);
 
@@ -59,30 +59,6 @@
     pub place: u32,
 }
 
-/// Targets at which prompts ran last, the oldest forgotten first.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Places {
-    by_subject: BTreeMap<u64, TargetId>,
-    order: VecDeque<u64>,
-}
-
-impl Places {
-    fn get(&self, subject: u64) -> Option<&TargetId> {
-        self.by_subject.get(&subject)
-    }
-
-    fn set(&mut self, subject: u64, target: &TargetId) {
-        if self.by_subject.insert(subject, target.clone()).is_none() {
-            self.order.push_back(subject);
-        }
-        if self.order.len() > PLACES
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.by_subject.remove(&oldest);
-        }
-    }
-}
-
 type Candidate<'a> = (&'a TargetId, &'a TargetState);
 
 pub(super) fn choose(router: &mut Router, now: Time, need: &Need<'_>) -> Result<Pick, Refusal> {
@@ -90,9 +66,12 @@
     if usable.is_empty() {
         return Err(Refusal::NoTarget);
     }
-    let bound = bound(router, &usable);
+    let bound = bound(router, &usable, need.hash);
     let found = match need.prompt {
-        Some(prompt) => by_prompt(&usable, prompt, bound),
+        Some(prompt) => {
+            let spread = spread(router, now, &usable, prompt);
+            by_prompt(&usable, prompt, bound, need.hash, spread)
+        }
         None => least_loaded(&usable, need.hash).map(|id| (id, 0)),
     };
     let (id, place) = found.ok_or(Refusal::Full)?;
@@ -103,8 +82,12 @@
     let state = router.roster.get(&id).ok_or(Refusal::NoTarget)?;
     let (address, load) = (state.entry.address, state.load());
     let lease = router.roster.lease(now, &id).ok_or(Refusal::NoTarget)?;
+    let lease = Lease {
+        subject: need.prompt.map(|p| p.subject),
+        ..lease
+    };
     if let Some(prompt) = need.prompt {
-        router.places.set(prompt.subject, &id);
+        router.subjects.sent(now, prompt.subject, &id);
     }
     Ok(Pick {
         lease,
@@ -174,25 +157,44 @@
         .is_none_or(|sent| now.saturating_sub(sent) >= gap)
 }
 
-/// Requests that a target may have, from the mean of the pool.
-fn bound(router: &Router, usable: &[Candidate<'_>]) -> u32 {
+/// Requests that a target may have for this one to join them, from the mean of
+/// the pool.
+fn bound(router: &Router, usable: &[Candidate<'_>], hash: u64) -> u32 {
     let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
     let mean = f64::from(total + 1) / usable.len() as f64;
-    let multiple = router.bounds.load_multiple * BOUND_SHARE;
+    let drawn = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+    let (least, most) = BOUND_SHARES;
+    let multiple = router.bounds.load_multiple * (least + drawn * (most - least));
     (mean * multiple + BOUND_SLACK).ceil() as u32
 }
 
+/// Targets over which a subject is spread: as many as bear what all instances
+/// have of it, beside the load that they have anyway.
+///
+/// A subject with much of the traffic is spread ahead of the bound: loads told
+/// late would let all instances fill one target after the other past it.
+fn spread(router: &Router, now: Time, usable: &[Candidate<'_>], prompt: Prompt) -> usize {
+    let running = router.subjects.running(now, prompt.subject);
+    let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
+    let mean = f64::from(total) / usable.len() as f64;
+    let (least, _) = BOUND_SHARES;
+    let room = mean * (router.bounds.load_multiple * least - 1.0) + BOUND_SLACK;
+    (running / room.max(1.0)).ceil().max(1.0) as usize
+}
+
 /// First target in the prompt's order that is below the bound, or else the
-/// least loaded.
+/// least loaded. Requests are spread over the first `spread` of the order.
 fn by_prompt<'a>(
     usable: &[Candidate<'a>],
     prompt: Prompt,
     bound: u32,
+    hash: u64,
+    spread: usize,
 ) -> Option<(&'a TargetId, u32)> {
-    let order = rank(
-        prompt.subject,
-        usable.iter().map(|(id, _)| (id.as_str(), 1)),
-    );
+    let names = usable.iter().map(|(id, _)| (id.as_str(), 1));
+    let mut order = rank(prompt.subject, names);
+    let spread = spread.min(order.len()).max(1);
+    order[..spread].rotate_left((hash % spread as u64) as usize);
     let loads: BTreeMap<&str, Candidate<'a>> = usable.iter().map(|c| (c.0.as_str(), *c)).collect();
     let below = order.iter().enumerate().find_map(|(place, id)| {
         let (id, state) = loads.get(id)?;
@@ -226,7 +228,7 @@
     chosen: &TargetId,
     place: u32,
 ) -> Option<SocketAddr> {
-    let last = router.places.get(prompt.subject);
+    let last = router.subjects.place(prompt.subject);
     if let Some(last) = last {
         let state = router.roster.get(last).filter(|_| last != chosen)?;
         return Some(state.entry.address);
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod freshness;
 mod roster;
+mod subjects;
 
 pub use choose::{Need, Pick, Prompt};
 pub use freshness::Freshness;
@@ -10,6 +11,7 @@
 
 use crate::budget::Budget;
 use crate::catalog::{Catalog, Route, TargetEntry};
+use crate::fleet::Work;
 use crate::id::{DomainId, ServiceId, TargetId, Time, Version, WorkspaceId};
 use roster::Roster;
 use serde::Serialize;
@@ -88,7 +90,7 @@
     evacuated: BTreeSet<DomainId>,
     roster: Roster,
     budgets: BTreeMap<ServiceId, Budget>,
-    places: choose::Places,
+    subjects: subjects::Subjects,
     instances: usize,
     position: usize,
 }
@@ -103,7 +105,7 @@
             evacuated: BTreeSet::new(),
             roster: Roster::default(),
             budgets: BTreeMap::new(),
-            places: choose::Places::default(),
+            subjects: subjects::Subjects::default(),
             instances: 1,
             position: 0,
         }
@@ -181,14 +183,18 @@
         self.position = position;
     }
 
-    /// Takes the requests that all other instances have at each target.
-    pub fn others(&mut self, loads: &BTreeMap<TargetId, u32>) {
-        self.roster.others(loads);
+    /// Takes the work that all other instances have at targets.
+    pub fn others(&mut self, work: Work) {
+        self.roster.others(&work.targets);
+        self.subjects.others(work.subjects);
     }
 
-    /// Requests of this instance at each target, those without any left out.
-    pub fn own_loads(&self) -> BTreeMap<TargetId, u32> {
-        self.roster.own()
+    /// Work of this instance at targets.
+    pub fn own_work(&self, now: Time) -> Work {
+        Work {
+            targets: self.roster.own(),
+            subjects: self.subjects.frequent(now),
+        }
     }
 
     /// Requests of this instance that are at targets.
@@ -252,6 +258,12 @@
 
     /// Notes that an attempt at a target has ended.
     pub fn ended(&mut self, now: Time, lease: &Lease, ending: Ending) {
+        if let Some(subject) = lease.subject
+            && ending == Ending::Whole
+        {
+            let length = now.saturating_sub(lease.since);
+            self.subjects.ended(subject, length);
+        }
         self.roster.ended(now, lease, ending);
     }
 
@@ -262,24 +274,28 @@
 
     /// Takes a token for one retry, or returns false where none is left.
     pub fn retry(&mut self, now: Time, service: &ServiceId) -> bool {
-        self.budget(service).withdraw(now)
+        // Until it is settled, an instance doesn't know with how many it shares.
+        let slack = match now {
+            now if now < SETTLED => 0.0,
+            _ => self.bounds.retry_slack * RETRY_MARGIN / self.instances as f64,
+        };
+        let (burst, refill) = (slack / 2.0, slack / 2.0 / RETRY_WINDOW.as_secs_f64());
+        let budget = self.budget(service);
+        budget.reset(refill, burst.max(1.0));
+        budget.withdraw(now)
     }
 
-    /// Budget of this instance: its share of what all may use together. It
-    /// begins with one token, because an instance that has just started does
-    /// not know yet with how many it shares.
+    /// Budget of this instance: its share of what all may use together.
     fn budget(&mut self, service: &ServiceId) -> &mut Budget {
-        let slack = self.bounds.retry_slack * RETRY_MARGIN / self.instances as f64;
-        let (burst, refill) = (slack / 2.0, slack / 2.0 / RETRY_WINDOW.as_secs_f64());
         let ratio = self.bounds.retry_ratio * RETRY_MARGIN;
         let budgets = &mut self.budgets;
         let budget = budgets.entry(service.clone());
-        let budget = budget.or_insert_with(|| Budget::new(ratio, refill, 1.0));
-        budget.reset(refill, burst.max(1.0));
-        budget
+        budget.or_insert_with(|| Budget::new(ratio, 0.0, 1.0))
     }
 }
 
+/// Time after the start of the process at which the fleet is known.
+const SETTLED: Duration = Duration::from_secs(3);
 /// Share of the retry budget that is used: requests that callers gave up and
 /// arrivals that nobody counted here draw on it too.
 const RETRY_MARGIN: f64 = 0.75;
--- a/crates/decision/src/router/roster.rs
+++ b/crates/decision/src/router/roster.rs
@@ -38,6 +38,8 @@
     /// Target.
     pub target: TargetId,
     pub(crate) generation: u64,
+    pub(crate) subject: Option<u64>,
+    pub(crate) since: Time,
 }
 
 /// State of one target, for the dump.
@@ -212,6 +214,8 @@
         Some(Lease {
             target: id.clone(),
             generation: state.generation,
+            subject: None,
+            since: now,
         })
     }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -54,7 +54,7 @@
     /// Sends this instance's pulses and takes the loads of the others.
     pub(crate) fn pulse(&self, gateway: &Shared) {
         let now = gateway.now();
-        let own = gateway.router.borrow().own_loads();
+        let own = gateway.router.borrow().own_work(now);
         let feeds = gateway.feed_ages();
         let mut fleet = gateway.fleet.borrow_mut();
         for outgoing in fleet.tick(now, &own, &feeds) {
@@ -64,7 +64,7 @@
         let mut router = gateway.router.borrow_mut();
         let (instances, position) = fleet.share(now);
         router.share_of(instances, position);
-        router.others(&fleet.others(now));
+        router.others(fleet.others(now));
         router.sweep(now);
     }
 
