Fetch a hot subject's parts where it is new

Cause: with a subject spread, the place in the turned order stood for its home, so that a target without its parts fetched nothing and read them again.

Change: the place is that of the subject's own order; a target fetches from the subject's last place, or from the first in its order that has been there for long, among all targets, drained ones too.

Before: a test of 200 requests of one subject found targets without a source. After: it passes, and one of 200 subjects beside a new target.

--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -19,6 +19,9 @@
 const COLD_SHARE: f64 = 0.8;
 /// Time for which a target that has just come may lack its prompts.
 const SETTLED: Duration = Duration::from_secs(20);
+/// Time after the start of the process in which targets are read for the first
+/// time; they may be older than the process.
+const FIRST_READ: Duration = Duration::from_secs(3);
 
 /// Prompt of a request to a model engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,9 +79,7 @@
     };
     let (id, place) = found.ok_or(Refusal::Full)?;
     let id = id.clone();
-    let fetch = need
-        .prompt
-        .and_then(|p| holder(router, now, &usable, p, &id, place));
+    let fetch = need.prompt.and_then(|p| holder(router, now, need, p, &id));
     let state = router.roster.get(&id).ok_or(Refusal::NoTarget)?;
     let (address, load) = (state.entry.address, state.load());
     let lease = router.roster.lease(now, &id).ok_or(Refusal::NoTarget)?;
@@ -183,7 +184,8 @@
 }
 
 /// First target in the prompt's order that is below the bound, or else the
-/// least loaded. Requests are spread over the first `spread` of the order.
+/// least loaded, with its place in the order. Requests are spread over the
+/// first `spread` of the order.
 fn by_prompt<'a>(
     usable: &[Candidate<'a>],
     prompt: Prompt,
@@ -192,13 +194,16 @@
     spread: usize,
 ) -> Option<(&'a TargetId, u32)> {
     let names = usable.iter().map(|(id, _)| (id.as_str(), 1));
-    let mut order = rank(prompt.subject, names);
+    let mut order: Vec<(usize, &str)> = rank(prompt.subject, names)
+        .into_iter()
+        .enumerate()
+        .collect();
     let spread = spread.min(order.len()).max(1);
     order[..spread].rotate_left((hash % spread as u64) as usize);
     let loads: BTreeMap<&str, Candidate<'a>> = usable.iter().map(|c| (c.0.as_str(), *c)).collect();
-    let below = order.iter().enumerate().find_map(|(place, id)| {
+    let below = order.iter().find_map(|(place, id)| {
         let (id, state) = loads.get(id)?;
-        (state.load() < bound).then_some((*id, place as u32))
+        (state.load() < bound).then_some((*id, *place as u32))
     });
     below.or_else(|| {
         let least = usable.iter().min_by_key(|(_, s)| s.load())?;
@@ -219,27 +224,29 @@
     least.map(|(id, _)| *id)
 }
 
-/// Target from which the chosen one may fetch what it lacks of the prompt.
+/// Target from which the chosen one may fetch what it lacks of the prompt: the
+/// one at which the subject ran last, as far as this instance knows, or else
+/// the first in its order that has been there for long.
 fn holder(
     router: &Router,
     now: Time,
-    usable: &[Candidate<'_>],
+    need: &Need<'_>,
     prompt: Prompt,
     chosen: &TargetId,
-    place: u32,
 ) -> Option<SocketAddr> {
     let last = router.subjects.place(prompt.subject);
-    if let Some(last) = last {
-        let state = router.roster.get(last).filter(|_| last != chosen)?;
-        return Some(state.entry.address);
-    }
-    let state = router.roster.get(chosen)?;
-    let is_settled = now.saturating_sub(state.since) >= SETTLED;
-    if place == 0 && is_settled {
-        return None;
+    if let Some(state) = last.and_then(|last| router.roster.get(last)) {
+        let is_other = last.is_some_and(|last| last != chosen);
+        return is_other.then_some(state.entry.address);
     }
-    let names = usable.iter().map(|(id, _)| id.as_str());
-    let order = rank(prompt.subject, names.map(|id| (id, 1)));
-    let other = order.into_iter().find(|id| *id != chosen.as_str())?;
-    router.roster.get(other).map(|s| s.entry.address)
+    let settled = router.roster.of_service(need.service);
+    let settled = settled.filter(|(_, s)| is_settled(s, now));
+    let order = rank(prompt.subject, settled.map(|(id, _)| (id.as_str(), 1)));
+    let first = order.into_iter().next().filter(|id| id != chosen)?;
+    router.roster.get(first).map(|s| s.entry.address)
+}
+
+/// Whether a target has been there for long, or since before this instance.
+fn is_settled(state: &TargetState, now: Time) -> bool {
+    state.since < FIRST_READ || now.saturating_sub(state.since) >= SETTLED
 }
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -217,6 +217,46 @@
     );
 }
 
+#[test]
+fn a_target_that_has_just_come_fetches_its_prompts() {
+    let mut router = router(6);
+    router.target(SECOND * 30, &id(9), Some(entry(9, Duration::ZERO)));
+    let mut moved = 0;
+    for subject in 0..200 {
+        let now = SECOND * 31;
+        let pick = router.choose(now, &prompt(subject)).expect("a target");
+        router.ended(now, &pick.lease, Ending::Whole);
+        let is_new = pick.lease.target == id(9);
+        moved += u32::from(is_new);
+        assert_eq!(pick.fetch.is_some(), is_new, "subject {subject}");
+        // What this instance has sent there lies there.
+        let again = router.choose(now, &prompt(subject)).expect("a target");
+        router.ended(now, &again.lease, Ending::Whole);
+        assert_eq!(again.fetch, None);
+    }
+    assert!(moved > 10);
+}
+
+#[test]
+fn a_hot_subject_is_fetched_where_it_is_new() {
+    let mut router = router(8);
+    let mut fetched = 0;
+    let mut seen = std::collections::BTreeSet::new();
+    for request in 0..200 {
+        let need = Need {
+            hash: request,
+            ..prompt(3)
+        };
+        let now = Duration::from_millis(request * 10);
+        let pick = router.choose(now, &need).expect("a target");
+        if seen.insert(pick.lease.target.clone()) && seen.len() > 1 {
+            assert!(pick.fetch.is_some(), "{:?} is new to it", pick.lease.target);
+            fetched += 1;
+        }
+    }
+    assert!(fetched > 2);
+}
+
 #[test]
 fn a_prompt_returns_to_its_home_on_every_instance() {
     let (mut one, mut two) = (router(8), router(8));
