Log what decided each attempt, and callers that leave

Cause: a line of a finished request did not name its target unless it was missed, and a request whose caller left before the first event had no line.

Change: each line lists the attempts with load, bound, place and miss; a request that is dropped says caller_left.

Conclusion: a request's id leads to its targets.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,7 +10,9 @@
 use hyper::{Request, Response, StatusCode, header};
 use platform::requests::{self, CallerHead, Forward};
 use rand::Rng;
+use serde::Serialize;
 use serde_json::{Value, json};
+use std::cell::Cell;
 use std::time::Duration;
 
 /// Most bytes of an answer that is not a stream.
@@ -39,11 +41,25 @@
     pub(crate) tried: Vec<TargetId>,
     /// Attempts that may have run.
     pub(crate) runs: u32,
+    /// What decided each attempt, for the log.
+    notes: Vec<Note>,
+    is_finished: Cell<bool>,
     hash: u64,
     /// Last answer that says that the request failed at its target.
     failure: Option<Failure>,
 }
 
+/// What decided an attempt, and how it ended if it was missed.
+#[derive(Clone, Debug, Serialize)]
+struct Note {
+    target: TargetId,
+    load: u32,
+    bound: u32,
+    place: u32,
+    fetch: bool,
+    miss: Option<&'static str>,
+}
+
 /// A whole answer that says that the request failed.
 struct Failure {
     parts: Parts,
@@ -91,6 +107,8 @@
         deadline: arrived + wait,
         tried: Vec::new(),
         runs: 0,
+        notes: Vec::new(),
+        is_finished: Cell::new(false),
         hash,
         failure: None,
     };
@@ -177,6 +195,14 @@
         };
         let now = self.gateway.now();
         let pick = self.gateway.router.borrow_mut().choose(now, &need)?;
+        self.notes.push(Note {
+            target: pick.lease.target.clone(),
+            load: pick.load,
+            bound: pick.bound,
+            place: pick.place,
+            fetch: pick.fetch.is_some(),
+            miss: None,
+        });
         let held = Held::new(&self.gateway, pick.lease.clone());
         Ok((pick, held))
     }
@@ -268,7 +294,7 @@
 
     /// Decides what follows a miss: `None` for another attempt.
     fn missed(&mut self, pick: &Pick, miss: &Miss) -> Option<Response<Outlet>> {
-        self.gateway.metrics.count("misses", miss.word());
+        self.note_miss(miss);
         self.tried.push(pick.lease.target.clone());
         if !miss.has_not_run() {
             self.runs += 1;
@@ -289,6 +315,14 @@
         Some(self.give_up(&word, full))
     }
 
+    /// Notes how the last attempt was missed.
+    pub(crate) fn note_miss(&mut self, miss: &Miss) {
+        self.gateway.metrics.count("misses", miss.word());
+        if let Some(note) = self.notes.last_mut() {
+            note.miss = Some(miss.word());
+        }
+    }
+
     pub(crate) fn take_retry(&self) -> bool {
         let now = self.gateway.now();
         let mut router = self.gateway.router.borrow_mut();
@@ -311,6 +345,7 @@
 
     /// Logs and counts the end of the request.
     pub(crate) fn finished(&self, outcome: &'static str, status: u16, reason: &Value) {
+        self.is_finished.set(true);
         let gateway = &self.gateway;
         let took = gateway.now().saturating_sub(self.arrived);
         gateway.metrics.count("requests", outcome);
@@ -324,7 +359,7 @@
                 "service": self.admission.service, "workspace": self.admission.workspace,
                 "configuration": self.admission.version,
                 "configuration_age_ms": age.map(|a| a.as_millis() as u64),
-                "targets": self.tried, "runs": self.runs,
+                "attempts": self.notes, "runs": self.runs,
                 "outcome": outcome, "status": status, "reason": reason,
                 "took_ms": took.as_millis() as u64,
             })
@@ -332,6 +367,15 @@
     }
 }
 
+impl Drop for Journey {
+    fn drop(&mut self) {
+        // The caller's connection ended, and everything that waited with it.
+        if !self.is_finished.get() {
+            self.finished("caller_left", 0, &Value::Null);
+        }
+    }
+}
+
 fn retry_after() -> f64 {
     rand::rng().random_range(RETRY_AFTER)
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -275,6 +275,7 @@
 
     /// Goes on at another target after the last event.
     async fn resume(&mut self, miss: &Miss) -> Option<Source> {
+        self.journey.note_miss(miss);
         self.journey.runs += 1;
         let route = self.journey.admission.route.clone();
         let may_resume = route.repeat == Repeat::Resumable && self.last.is_some();
@@ -302,6 +303,7 @@
                     return None;
                 }
                 Err(again) => {
+                    self.journey.note_miss(&again);
                     held.end(again.ending());
                     if !again.has_not_run() {
                         return None;
