Ask the seeds while the store is away, list who serves

Change: an instance that knows nothing asks the seeds of its settings for both tables and for who is there; it is named in the directory once it knows a configuration. Ruled out: being unlisted while the configuration is old, as all are then unlisted at once and each reads the store.

--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -63,6 +63,7 @@
                 caller,
                 peer,
                 leaving: false,
+                starting: false,
                 power: 0,
             },
             operator,
--- a/crates/bench/src/net.rs
+++ b/crates/bench/src/net.rs
@@ -79,6 +79,7 @@
         caller: "127.0.0.1:1".parse().expect("address"),
         peer: "127.0.0.1:2".parse().expect("address"),
         leaving: false,
+        starting: false,
         power: 0,
     }
 }
--- a/crates/briargap/src/instance.rs
+++ b/crates/briargap/src/instance.rs
@@ -266,6 +266,7 @@
         caller: settings.caller.advertise.unwrap_or(caller),
         peer: settings.peer.advertise.unwrap_or(peer),
         leaving: false,
+        starting: false,
         power: 0,
     }
 }
--- a/crates/decision/src/fleet.rs
+++ b/crates/decision/src/fleet.rs
@@ -246,6 +246,29 @@
         self.peers.get(id).map(|p| p.listing.peer)
     }
 
+    /// Tells whether this instance knows no configuration yet.
+    pub fn start(&mut self, starting: bool) {
+        self.me.starting = starting;
+    }
+
+    /// Whether an instance has been met.
+    pub fn knows(&self, id: &str) -> bool {
+        self.peers.contains_key(id)
+    }
+
+    /// Pulse to an instance that is not in the list yet: to a seed, or to one
+    /// that this instance was a seed for.
+    pub fn introduction(&self, now: Time) -> Pulse {
+        Pulse {
+            at_ms: now.as_millis() as u64,
+            echo_ms: None,
+            scope: Scope::Own,
+            heard: self.heard(now, |_| true),
+            work: Work::default(),
+            feeds: Vec::new(),
+        }
+    }
+
     /// Marks this instance as stopping.
     pub fn leave(&mut self) {
         self.me.leaving = true;
@@ -353,6 +376,10 @@
     }
 
     fn is_live(&self, peer: &Peer, now: Time) -> bool {
+        !peer.listing.starting && self.is_heard(peer, now)
+    }
+
+    fn is_heard(&self, peer: &Peer, now: Time) -> bool {
         let answers = peer.failed.is_none_or(|failed| peer.heard > failed);
         let age = self.news_at(now).saturating_sub(peer.heard);
         !peer.listing.leaving && answers && age < LIVE
@@ -367,9 +394,9 @@
         }
     }
 
-    /// Live instances that take callers, this one included unless it stops.
+    /// Live instances that take callers, this one included where it does.
     pub fn live(&self, now: Time) -> Vec<&Listing> {
-        let me = Some(&self.me).filter(|me| !me.leaving);
+        let me = Some(&self.me).filter(|me| !me.leaving && !me.starting);
         let others = self.peers.values().filter(|p| self.is_live(p, now));
         me.into_iter().chain(others.map(|p| &p.listing)).collect()
     }
@@ -482,7 +509,7 @@
                 self.send(&mut out, &hub, &to_hubs);
             }
             let here = self.peers.values().filter(|p| is_here(p));
-            let here = here.filter(|p| self.is_live(p, now));
+            let here = here.filter(|p| self.is_heard(p, now));
             let here: Vec<Listing> = here.map(|p| p.listing.clone()).collect();
             for listing in here {
                 self.send(&mut out, &listing, &to_domain);
@@ -524,7 +551,7 @@
         let here = self
             .peers
             .values()
-            .filter(|p| p.listing.domain == self.me.domain && self.is_live(p, now));
+            .filter(|p| p.listing.domain == self.me.domain && self.is_heard(p, now));
         here.map(|p| p.listing.clone()).collect()
     }
 
--- a/crates/decision/src/members.rs
+++ b/crates/decision/src/members.rs
@@ -53,6 +53,9 @@
     /// Whether the platform says that it is leaving.
     #[serde(default)]
     pub leaving: bool,
+    /// Whether it knows no configuration yet and is not to be given callers.
+    #[serde(default)]
+    pub starting: bool,
     /// Thousandths of a core that its machine has; 0 where it isn't told.
     #[serde(default)]
     pub power: u32,
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -16,6 +16,7 @@
         caller: ([10, 0, 0, 1], port).into(),
         peer: ([10, 0, 0, 2], port).into(),
         leaving: false,
+        starting: false,
         power: if number < domains * 2 { 500 } else { 84 },
     }
 }
@@ -241,6 +242,28 @@
     }
 }
 
+#[test]
+fn an_instance_that_starts_is_told_of_once_it_serves() {
+    let mut net = Net::new(9, 3);
+    let starting = listing(5, 3).id;
+    net.fleets.get_mut(&starting).expect("known").start(true);
+    net.run(Duration::from_secs(2));
+    let is_listed = |net: &Net, id: &InstanceId| {
+        let live = net.fleets[id].live(net.now);
+        live.iter().any(|l| l.id == starting)
+    };
+    let ids: Vec<InstanceId> = net.fleets.keys().cloned().collect();
+    assert!(ids.iter().all(|id| !is_listed(&net, id)));
+    assert!(
+        net.fleets[&starting]
+            .silence(net.now)
+            .is_some_and(|s| s <= PULSE)
+    );
+    net.fleets.get_mut(&starting).expect("known").start(false);
+    net.run(Duration::from_secs(2));
+    assert!(ids.iter().all(|id| is_listed(&net, id)));
+}
+
 fn row(key: &str, version: u64, value: Option<&str>) -> FeedRow {
     FeedRow {
         key: key.into(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -44,6 +44,7 @@
     let (pulsing, sender) = (gateway.clone(), mesh.clone());
     tokio::task::spawn_local(async move {
         loop {
+            sender.ask_seeds(&pulsing);
             sender.pulse(&pulsing);
             tokio::time::sleep(PULSE).await;
         }
@@ -57,6 +58,7 @@
         let own = gateway.router.borrow().own_work(now);
         let feeds = gateway.feed_ages();
         let mut fleet = gateway.fleet.borrow_mut();
+        fleet.start(gateway.router.borrow().version().is_none());
         for outgoing in fleet.tick(now, &own, &feeds) {
             let message = Message::Pulse(Box::new(outgoing.pulse));
             self.0.send(&outgoing.to, outgoing.address, &message);
@@ -68,6 +70,29 @@
         router.sweep(now);
     }
 
+    /// Asks the seeds for all that an instance needs, while it knows nothing.
+    fn ask_seeds(&self, gateway: &Shared) {
+        if gateway.router.borrow().version().is_some() {
+            return;
+        }
+        let settings = gateway.settings.borrow();
+        let introduction = gateway.fleet.borrow().introduction(gateway.now());
+        for seed in &settings.seeds {
+            let mut address = *seed;
+            address.set_port(settings.seed_port.unwrap_or(seed.port()));
+            if address == settings.listen.peers {
+                continue;
+            }
+            // Its name is not known; the mesh only needs one for the link.
+            let name = smol_str::format_smolstr!("seed {address}");
+            let pulse = Message::Pulse(Box::new(introduction.clone()));
+            self.0.send(&name, address, &pulse);
+            for table in 0..TABLES.len() {
+                self.0.send(&name, address, &Message::NewsAsk(table as u8));
+            }
+        }
+    }
+
     fn receive(&self, gateway: &Shared, event: PeerEvent) {
         let now = gateway.now();
         match event {
@@ -84,12 +109,17 @@
     fn pulsed(&self, gateway: &Shared, from: &InstanceId, pulse: Pulse) {
         let now = gateway.now();
         let feeds = pulse.feeds.clone();
+        let is_new = !gateway.fleet.borrow().knows(from);
         let proof = gateway.fleet.borrow_mut().pulse(now, from, pulse);
         for (table, proof) in proof.into_iter().enumerate().take(TABLES.len()) {
             if let Some((feed, at)) = proof {
                 gateway.verify(table, feed.version, feed.changed, at);
             }
         }
+        if is_new {
+            let introduction = gateway.fleet.borrow().introduction(now);
+            self.send(gateway, from, &Message::Pulse(Box::new(introduction)));
+        }
         for (table, feed) in feeds.into_iter().enumerate().take(TABLES.len()) {
             let known = gateway.feeds.borrow()[table].version();
             if feed.is_some_and(|f| known.is_none_or(|k| f.changed > k)) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,6 +21,12 @@
     pub listen: Listen,
     /// The platform's store.
     pub store: StoreSettings,
+    /// Instances to ask while the store is away, which may be gone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Port of the mesh on the seeds, where theirs is another one.
+    #[serde(default)]
+    pub seed_port: Option<u16>,
     /// Bounds that the operators set.
     pub bounds: Bounds,
     /// What the machine bears.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -80,6 +80,7 @@
             caller: settings.listen.callers,
             peer: settings.listen.peers,
             leaving: false,
+            starting: true,
             power: (settings.machine.cores * 1_000.0) as u32,
         };
         Rc::new(Gateway {
