Find a hub though most of a domain is gone, forget old news in time

With its hub gone an instance keeps what it was last told and tries the others in turn, a second each; where most of them are gone, it names them for as long.

Change: old news stands for 2.5 s at most; hubs also pulse those who are silent now and then, and try one after the other of a domain in which nobody is heard.

--- a/crates/decision/src/fleet.rs
+++ b/crates/decision/src/fleet.rs
@@ -29,6 +29,9 @@
 const WORK_AGE: Duration = Duration::from_millis(1_500);
 /// Silence of the hubs after which an instance is no longer told who is heard.
 const PULSE_LATE: Duration = Duration::from_millis(600);
+/// Longest time for which the last news of who is heard stands: with [`LIVE`],
+/// under the 6 s that operators allow for naming an instance that is gone.
+const NEWS_KEPT: Duration = Duration::from_millis(2_500);
 /// Longest time for which a connection holds a pulse up, in milliseconds: a
 /// link gives up a silent connection after less.
 const LATE_MAX_MS: u64 = 3_000;
@@ -386,10 +389,10 @@
     }
 
     /// Moment up to which this instance is told who is heard. Without a hub it
-    /// is told nothing, and that is no sign of the others' silence.
+    /// is told nothing, and for a while that is no sign of the others' silence.
     fn news_at(&self, now: Time) -> Time {
         match self.silence(now) {
-            Some(silence) if silence >= PULSE_LATE => now.saturating_sub(silence),
+            Some(silence) if silence >= PULSE_LATE => now.saturating_sub(silence.min(NEWS_KEPT)),
             _ => now,
         }
     }
@@ -509,7 +512,8 @@
                 self.send(&mut out, &hub, &to_hubs);
             }
             let here = self.peers.values().filter(|p| is_here(p));
-            let here = here.filter(|p| self.is_heard(p, now));
+            // Those that are silent may not know of this hub.
+            let here = here.filter(|p| self.is_heard(p, now) || tells_all && !p.listing.leaving);
             let here: Vec<Listing> = here.map(|p| p.listing.clone()).collect();
             for listing in here {
                 self.send(&mut out, &listing, &to_domain);
@@ -533,14 +537,19 @@
         });
     }
 
-    /// Hubs of the other failure domains.
+    /// Hubs of the other failure domains. Of a domain in which nobody is heard
+    /// one instance after the other is tried.
     pub fn other_hubs(&self, now: Time) -> Vec<Listing> {
-        let live = self.live(now);
-        let mut domains: Vec<DomainId> = live.iter().map(|l| l.domain.clone()).collect();
-        domains.sort();
-        domains.dedup();
-        let others = domains.iter().filter(|d| **d != self.me.domain);
-        others.filter_map(|d| self.hub(now, d).cloned()).collect()
+        let mut domains: BTreeMap<&DomainId, Vec<&Listing>> = BTreeMap::new();
+        let known = self.peers.values().map(|p| &p.listing);
+        for listing in known.filter(|l| l.domain != self.me.domain && !l.leaving) {
+            domains.entry(&listing.domain).or_default().push(listing);
+        }
+        let hub = |(domain, known): (&DomainId, Vec<&Listing>)| {
+            let turn = (self.ticks as usize) % known.len();
+            self.hub(now, domain).unwrap_or(known[turn]).clone()
+        };
+        domains.into_iter().map(hub).collect()
     }
 
     /// Instances to which news of the store's tables goes on from here.
