--- a/crates/decision/src/catalog.rs
+++ b/crates/decision/src/catalog.rs
@@ -81,10 +81,6 @@
     pub cold_time: Duration,
     /// Requests a second that a cold target bears; 0 for no limit.
     pub cold_rate: f64,
-    /// Whether its targets are model engines.
-    pub engine: bool,
-    /// Tokens of prompts and answers that a model engine keeps in memory.
-    pub memory: u64,
 }
 
 /// Limits on what callers send.
--- a/crates/decision/src/fleet.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -8,10 +8,13 @@
 //! so that its calls grow with the number of domains and not of instances. All
 //! of this is soft: an instance that hears from no hub reads for itself.
 
+mod pulse;
+
+pub use pulse::{FeedAge, Heard, Outgoing, Proof, Pulse, Scope, Work};
+
 use crate::hash::winner;
-use crate::id::{DomainId, Incarnation, InstanceId, TargetId, Time};
+use crate::id::{DomainId, Incarnation, InstanceId, Time};
 use crate::members::Listing;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,134 +45,6 @@
 /// Own pulses whose work is remembered until a hub's answer.
 const PULSES: usize = 16;
 
-/// What a pulse's loads cover.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Scope {
-    /// The sender alone.
-    #[serde(rename = "o")]
-    Own,
-    /// The sender's failure domain.
-    #[serde(rename = "d")]
-    Domain,
-    /// The whole fleet.
-    #[serde(rename = "a")]
-    All,
-}
-
-/// An instance and how long ago it was heard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heard {
-    /// Instance.
-    #[serde(rename = "i")]
-    pub listing: Listing,
-    /// Its life.
-    #[serde(rename = "n")]
-    pub incarnation: Incarnation,
-    /// Milliseconds since it was heard.
-    #[serde(rename = "a")]
-    pub age_ms: u32,
-}
-
-/// How new a copy of one of the store's tables is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FeedAge {
-    /// Version.
-    #[serde(rename = "v")]
-    pub version: u64,
-    /// Version of the table's latest change.
-    #[serde(rename = "c")]
-    pub changed: u64,
-    /// Milliseconds since it was known to be the newest.
-    #[serde(rename = "a")]
-    pub age_ms: u32,
-}
-
-/// Work that instances have at targets.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Work {
-    /// Requests at each target.
-    #[serde(rename = "t", default)]
-    pub targets: BTreeMap<TargetId, u32>,
-    /// Recent requests of the most frequent subjects, in hundredths.
-    #[serde(rename = "s", default)]
-    pub subjects: BTreeMap<u64, u32>,
-}
-
-impl Work {
-    /// Adds the work of others.
-    pub fn add(&mut self, other: &Work) {
-        for (target, load) in &other.targets {
-            *self.targets.entry(target.clone()).or_insert(0) += load;
-        }
-        for (subject, count) in &other.subjects {
-            *self.subjects.entry(*subject).or_insert(0) += count;
-        }
-    }
-
-    /// Takes off work that was counted twice.
-    fn subtract(&mut self, other: &Work) {
-        for (target, load) in &other.targets {
-            if let Some(all) = self.targets.get_mut(target) {
-                *all = all.saturating_sub(*load);
-            }
-        }
-        for (subject, count) in &other.subjects {
-            if let Some(all) = self.subjects.get_mut(subject) {
-                *all = all.saturating_sub(*count);
-            }
-        }
-    }
-
-    /// Keeps the most frequent subjects.
-    pub fn keep_subjects(&mut self, most: usize) {
-        if self.subjects.len() <= most {
-            return;
-        }
-        let mut counts: Vec<u32> = self.subjects.values().copied().collect();
-        counts.sort_unstable_by(|a, b| b.cmp(a));
-        let least = counts[most];
-        self.subjects.retain(|_, count| *count > least);
-    }
-}
-
-/// What one instance tells another a few times a second.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Pulse {
-    /// Milliseconds on the sender's clock.
-    #[serde(rename = "t")]
-    pub at_ms: u64,
-    /// Time of the receiver's last pulse on the receiver's clock, if one came.
-    #[serde(rename = "e", default)]
-    pub echo_ms: Option<u64>,
-    /// What the loads cover.
-    #[serde(rename = "s")]
-    pub scope: Scope,
-    /// Instances, the sender included.
-    #[serde(rename = "m")]
-    pub heard: Vec<Heard>,
-    /// Work at targets.
-    #[serde(rename = "l", default)]
-    pub work: Work,
-    /// Copies of the store's tables, in a fixed order.
-    #[serde(rename = "f", default)]
-    pub feeds: Vec<Option<FeedAge>>,
-}
-
-/// A pulse to send.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Outgoing {
-    /// Receiver.
-    pub to: InstanceId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Pulse.
-    pub pulse: Pulse,
-}
-
-/// What a pulse proves about the sender's copies of tables: each with the
-/// moment on this instance's clock at which it was still the newest.
-pub type Proof = Vec<Option<(FeedAge, Time)>>;
-
 #[derive(Clone, Debug)]
 struct Peer {
     listing: Listing,
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -46,8 +46,6 @@
         ServiceSpec {
             cold_time: SECOND * 3,
             cold_rate: 18.0,
-            engine: true,
-            memory: 1_000,
         },
     );
     let owner = |workspace: &str| KeyOwner {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -66,10 +66,6 @@
     #[serde(rename = "key_age_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub key_age: Duration,
-    /// Time until a configuration must be in force.
-    #[serde(rename = "config_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub config: Duration,
     /// Time from the order to stop to the kill.
     #[serde(rename = "grace_s")]
     #[serde_as(as = "serde_with::DurationSecondsWithFrac<f64>")]
