Be ready only once the targets are known

An instance said that it is ready as soon as it knew the configuration, and refused with no_target until it had read the targets' table.

Change: ready, in the directory and done with asking the seeds only when both tables are known. The stand-in can refuse one table.

Before: the new test an_instance_is_ready_once_it_knows_the_targets failed (200 where 503 is due). After: it passes; 21 tests of the whole path pass.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -58,7 +58,7 @@
         let own = gateway.router.borrow().own_work(now);
         let feeds = gateway.feed_ages();
         let mut fleet = gateway.fleet.borrow_mut();
-        fleet.start(gateway.router.borrow().version().is_none());
+        fleet.start(!gateway.is_started());
         for outgoing in fleet.tick(now, &own, &feeds) {
             let message = Message::Pulse(Box::new(outgoing.pulse));
             self.0.send(&outgoing.to, outgoing.address, &message);
@@ -72,7 +72,7 @@
 
     /// Asks the seeds for all that an instance needs, while it knows nothing.
     fn ask_seeds(&self, gateway: &Shared) {
-        if gateway.router.borrow().version().is_some() {
+        if gateway.is_started() {
             return;
         }
         let settings = gateway.settings.borrow();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -107,12 +107,16 @@
         *self.phase.borrow()
     }
 
+    /// Whether a configuration and the targets are known.
+    pub(crate) fn is_started(&self) -> bool {
+        let has_targets = self.feeds.borrow()[TARGETS].version().is_some();
+        has_targets && self.router.borrow().version().is_some()
+    }
+
     /// Whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        let router = self.router.borrow();
-        self.phase() == Phase::Serving
-            && router.version().is_some()
-            && router.freshness().holds(self.now())
+        let is_fresh = self.router.borrow().freshness().holds(self.now());
+        self.phase() == Phase::Serving && self.is_started() && is_fresh
     }
 
     /// How new this instance's copies of the tables are.
