Accept nothing once a stopping instance closes its connections

It still accepted connections while it closed idle ones, and waited only for requests that were counted already. Ruled out: the caller's limit or the target (it answered at once).

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -77,7 +77,17 @@
     }));
 }
 
+/// Accepts connections until the instance closes them.
 async fn accept(gateway: &Shared, listener: TcpListener, role: Role) {
+    let mut phase = gateway.phase.subscribe();
+    tokio::select! {
+        () = accept_all(gateway, &listener, role) => {}
+        // The sender lives as long as the gateway.
+        _ = phase.wait_for(|p| *p == Phase::Closing) => {}
+    }
+}
+
+async fn accept_all(gateway: &Shared, listener: &TcpListener, role: Role) {
     loop {
         let limit = gateway.settings.borrow().machine.descriptors;
         let limit = limit.saturating_sub(DESCRIPTORS_KEPT).max(64);
@@ -221,7 +231,9 @@
     }
     gateway.phase.send_replace(Phase::Closing);
     let limit = grace.saturating_sub(END_MARGIN);
-    while elapsed() < limit && gateway.requests.get() > 0 {
+    // A connection may have a request that is not counted yet.
+    let is_busy = || gateway.requests.get() > 0 || gateway.connections.get() > 0;
+    while elapsed() < limit && is_busy() {
         tokio::time::sleep(STOP_LOOK).await;
     }
     // The last bytes are on their way through the sockets.
