Show the state of an instance on the platform

`briargap state` spoke only the project's own operator interface, which an instance on the operators' platform does not serve. Tests: a table from a served state, an answer that is no state, a call without a token.

--- a/crates/briargap/src/cli.rs
+++ b/crates/briargap/src/cli.rs
@@ -28,7 +28,7 @@
     pub(crate) operator: String,
     /// File that holds the operators' bearer token
     #[bpaf(long("token-file"), env("BRIARGAP_TOKEN_FILE"), argument("FILE"))]
-    pub(crate) token_file: PathBuf,
+    pub(crate) token_file: Option<PathBuf>,
     /// Print JSON in place of a table
     pub(crate) json: bool,
 }
@@ -38,7 +38,12 @@
 pub(crate) enum Action {
     /// Show the state of an instance
     #[bpaf(command)]
-    State,
+    State {
+        /// Control address of an instance on the operators' platform, which
+        /// needs no token
+        #[bpaf(long, argument("ADDRESS"))]
+        control: Option<String>,
+    },
     /// List the services in force
     #[bpaf(command)]
     Services,
--- a/crates/briargap/src/client.rs
+++ b/crates/briargap/src/client.rs
@@ -24,15 +24,22 @@
 
 /// Carries out one call and prints its answer.
 pub(crate) fn run(options: &ClientOptions, action: &Action) -> ExitCode {
-    let token = match read(&options.token_file) {
-        Ok(token) => token,
-        Err(message) => {
-            eprintln!("{message}");
-            return ExitCode::from(BAD_ARGUMENTS);
-        }
+    let answer = match action {
+        Action::State {
+            control: Some(control),
+        } => platform_state(control, options.json),
+        _ => match token(options) {
+            Ok(token) => {
+                let client = Client::new(&options.operator, token.trim());
+                call(&client, action, options.json)
+            }
+            Err(message) => {
+                eprintln!("{message}");
+                return ExitCode::from(BAD_ARGUMENTS);
+            }
+        },
     };
-    let client = Client::new(&options.operator, token.trim());
-    match call(&client, action, options.json) {
+    match answer {
         Ok(output) => {
             print(output);
             ExitCode::SUCCESS
@@ -49,6 +56,11 @@
     }
 }
 
+fn token(options: &ClientOptions) -> Result<String, String> {
+    let file = options.token_file.as_deref();
+    read(file.ok_or("the call needs --token-file or BRIARGAP_TOKEN_FILE")?)
+}
+
 fn exit_code(error: &Error) -> u8 {
     match error {
         Error::Unauthorized | Error::NotFound { .. } => 1,
@@ -60,7 +72,7 @@
 
 fn call(client: &Client, action: &Action, as_json: bool) -> operator::Result<Output> {
     match action {
-        Action::State => {
+        Action::State { .. } => {
             let state = client.state()?;
             Ok(if as_json {
                 Output::Json(state)
@@ -192,21 +204,60 @@
 
 fn locate(key_file: &Path, caller: &str, service: &str, chat: &str) -> operator::Result<Output> {
     let key = read(key_file).map_err(|message| Error::Malformed { message })?;
+    let url = format!("http://{caller}/v1/locate?service={service}&chat={chat}");
+    let request = minreq::get(url).with_header("authorization", format!("Bearer {}", key.trim()));
+    ask("locate", caller, request).map(Output::Json)
+}
+
+/// State of an instance on the operators' platform.
+fn platform_state(control: &str, as_json: bool) -> operator::Result<Output> {
+    let request = minreq::get(format!("http://{control}/state"));
+    let state = ask("state", control, request)?;
+    Ok(if as_json {
+        Output::Json(state)
+    } else {
+        Output::Table(platform_table(&state))
+    })
+}
+
+fn ask(step: &str, peer: &str, request: minreq::Request) -> operator::Result<Value> {
     let transport = |message: String| Error::Transport {
-        step: "locate".to_owned(),
-        peer: caller.to_owned(),
+        step: step.to_owned(),
+        peer: peer.to_owned(),
         message,
     };
-    let url = format!("http://{caller}/v1/locate?service={service}&chat={chat}");
-    let response = minreq::get(url)
-        .with_header("authorization", format!("Bearer {}", key.trim()))
+    let response = request
         .with_timeout(LOOKUP_TIMEOUT_S)
         .send()
         .map_err(|e| transport(e.to_string()))?;
-    let value = serde_json::from_slice(response.as_bytes());
-    value
-        .map(Output::Json)
-        .map_err(|e| transport(e.to_string()))
+    serde_json::from_slice(response.as_bytes()).map_err(|e| transport(e.to_string()))
+}
+
+fn platform_table(state: &Value) -> Vec<Vec<String>> {
+    let router = &state["router"];
+    let live = state["live"].as_array().map_or(0, Vec::len);
+    let mut rows = vec![
+        row(&["INSTANCE", &text(&state["instance"])]),
+        row(&["PHASE", &text(&state["phase"])]),
+        row(&["HUB", &text(&state["hub"])]),
+        row(&["LIVE INSTANCES", &live.to_string()]),
+        row(&["REQUESTS", &text(&state["requests"])]),
+        row(&["CONFIGURATION", &text(&router["version"])]),
+        row(&["AGE MS", &text(&router["age_ms"])]),
+        row(&["DOMAINS OUT", &text(&router["evacuated"])]),
+        Vec::new(),
+        row(&[
+            "SERVICE", "TARGET", "STAGE", "OWN", "OTHERS", "COLD MS", "ASIDE MS",
+        ]),
+    ];
+    let targets = router["targets"].as_array().into_iter().flatten();
+    rows.extend(targets.map(|target| {
+        let names = [
+            "service", "target", "stage", "own", "others", "cold_ms", "aside_ms",
+        ];
+        names.map(|name| text(&target[name])).to_vec()
+    }));
+    rows
 }
 
 fn state_table(state: &Value) -> Vec<Vec<String>> {
--- /dev/null
+++ b/crates/briargap/tests/client.rs
@@ -0,0 +1,76 @@
+//! The operators' client against an instance on the operators' platform.
+
+use std::process::{Command, Output};
+
+const STATE: &str = r#"{
+    "instance": "edge-1", "phase": "Serving", "hub": true, "requests": 3,
+    "live": [{"id": "edge-1"}, {"id": "edge-2"}],
+    "router": {
+        "version": 7, "age_ms": 120, "evacuated": [],
+        "targets": [{
+            "target": "i-1", "service": "pool", "stage": "Ready", "own": 1, "others": 4,
+            "cold_ms": 0, "aside_ms": 0
+        }]
+    }
+}"#;
+
+fn state(body: &'static str) -> Output {
+    let server = tiny_http::Server::http("127.0.0.1:0").expect("a free port");
+    let address = server.server_addr().to_string();
+    let serving = std::thread::spawn(move || {
+        let request = server.recv().expect("a request");
+        assert_eq!(request.url(), "/state");
+        request
+            .respond(tiny_http::Response::from_string(body))
+            .expect("answered");
+    });
+    let output = Command::new(env!("CARGO_BIN_EXE_briargap"))
+        .args(["state", "--control", &address])
+        .output()
+        .expect("the command runs");
+    serving.join().expect("no panic");
+    output
+}
+
+#[test]
+fn the_state_of_an_instance_on_the_platform_needs_no_token() {
+    let output = state(STATE);
+    assert!(output.status.success());
+    let text = String::from_utf8_lossy(&output.stdout);
+    insta::assert_snapshot!(text, @r"
+    INSTANCE        edge-1
+    PHASE           Serving
+    HUB             true
+    LIVE INSTANCES  2
+    REQUESTS        3
+    CONFIGURATION   7
+    AGE MS          120
+    DOMAINS OUT     []
+
+    SERVICE         TARGET   STAGE  OWN  OTHERS  COLD MS  ASIDE MS
+    pool            i-1      Ready  1    4       0        0
+    ");
+}
+
+#[test]
+fn an_answer_that_is_no_state_is_named_with_its_peer() {
+    let output = state("not json");
+    assert_eq!(output.status.code(), Some(4));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(text.starts_with("state at 127.0.0.1:"), "{text}");
+}
+
+#[test]
+fn a_call_without_a_token_says_what_is_missing() {
+    let output = Command::new(env!("CARGO_BIN_EXE_briargap"))
+        .env_remove("BRIARGAP_TOKEN_FILE")
+        .arg("services")
+        .output()
+        .expect("the command runs");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(
+        text.trim(),
+        "the call needs --token-file or BRIARGAP_TOKEN_FILE"
+    );
+}
