Cut off a head that takes longer than its own limit

Cause: one timer of the server library covered idle connections and heads, so it was set to the longer limit (15 s) and a head that stopped half way kept its connection for that long. Ruled out: the library's timer at the head's limit, which would close idle connections as early. Change: the connection's reader knows whether a request, a head or nothing is on its way, and fails a read at the limit of each.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod events;
 mod fleet;
 mod forward;
+mod intake;
 mod metrics;
 mod record;
 mod relay;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Listening sockets, and the way from serving to stopped.
 
 use crate::fleet::Mesh;
+use crate::intake::{Intake, Progress, Served};
 use crate::relay::{Outlet, whole};
 use crate::state::Phase;
 use crate::{Error, Listen, Result, Settings, Shared, control, forward, watch};
@@ -8,7 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use platform::directory::{ADDRESSES_MAX, READY_PATH, RESOLVE_PATH, Resolved};
 use serde_json::json;
 use std::convert::Infallible;
@@ -121,16 +122,19 @@
     }
     let limits = gateway.router.borrow().catalog().map(|c| c.limits);
     let limits = limits.unwrap_or_default();
-    let serving = gateway.clone();
+    let progress = Progress::new();
+    let intake = Intake::new(tcp, progress.clone(), limits.head_time, limits.idle_time);
+    let answering = gateway.clone();
     let service = service_fn(move |request| {
-        let gateway = serving.clone();
-        async move { Ok::<_, Infallible>(respond(&gateway, request, role).await) }
+        let (gateway, serving) = (answering.clone(), progress.begin());
+        async move {
+            let response = respond(&gateway, request, role).await;
+            Ok::<_, Infallible>(response.map(|body| Served::new(body, serving)))
+        }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time.max(limits.head_time))
         .max_buf_size(limits.head_bytes.max(BUFFER_MIN))
-        .serve_connection(TokioIo::new(tcp), service);
+        .serve_connection(TokioIo::new(intake), service);
     let mut connection = std::pin::pin!(connection);
     let mut phase = gateway.phase.subscribe();
     let closing = async {
