--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -58,7 +58,7 @@
 pub use hash::{chat_id, digest, hash_parts, rank};
 pub use id::{
     AskId, AttemptId, ChatId, Digest, DomainId, GrantId, Incarnation, InstanceId, RequestId,
-    ServiceId, TargetId, Time, Version, WorkspaceId,
+    ServiceId, Subject, TargetId, Time, Version, WorkspaceId,
 };
 pub use loads::Loads;
 pub use marks::{Mark, MarkKey, Marks};
@@ -70,7 +70,7 @@
 pub use ramp::Ramp;
 pub use request::{Action, Input, Outcome, Request, RequestPlan};
 pub use router::{
-    Admission, Ending, Freshness, Lease, Need, Pick, Prompt, Refusal, RosterRow, Router,
-    RouterBounds, RouterDump,
+    Admission, Ending, Freshness, Lease, Need, Pick, Refusal, RosterRow, Router, RouterBounds,
+    RouterDump,
 };
 pub use slots::{Denial, Report, Slots};
--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -4,7 +4,7 @@
 use super::{Refusal, Router};
 use crate::catalog::Stage;
 use crate::hash::rank;
-use crate::id::{ServiceId, TargetId, Time};
+use crate::id::{ServiceId, Subject, TargetId, Time};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,22 +23,13 @@
 /// time; they may be older than the process.
 const FIRST_READ: Duration = Duration::from_secs(3);
 
-/// Prompt of a request to a model engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Prompt {
-    /// Hash of the parts that other requests share.
-    pub subject: u64,
-    /// Tokens of those parts.
-    pub tokens: u32,
-}
-
 /// What an attempt needs.
 #[derive(Clone, Debug)]
 pub struct Need<'a> {
     /// Service.
     pub service: &'a ServiceId,
-    /// Prompt, if the service's targets cache prompts.
-    pub prompt: Option<Prompt>,
+    /// Subject of the prompt, if the service's targets cache prompts.
+    pub subject: Option<Subject>,
     /// Hash that spreads requests without a prompt.
     pub hash: u64,
     /// Targets that have been tried.
@@ -70,25 +61,25 @@
         return Err(Refusal::NoTarget);
     }
     let bound = bound(router, &usable, need.hash);
-    let found = match need.prompt {
-        Some(prompt) => {
-            let spread = spread(router, now, &usable, prompt);
-            by_prompt(&usable, prompt, bound, need.hash, spread)
+    let found = match need.subject {
+        Some(subject) => {
+            let spread = spread(router, now, &usable, subject);
+            by_subject(&usable, subject, bound, need.hash, spread)
         }
         None => least_loaded(&usable, need.hash).map(|id| (id, 0)),
     };
     let (id, place) = found.ok_or(Refusal::Full)?;
     let id = id.clone();
-    let fetch = need.prompt.and_then(|p| holder(router, now, need, p, &id));
+    let fetch = need.subject.and_then(|s| holder(router, now, need, s, &id));
     let state = router.roster.get(&id).ok_or(Refusal::NoTarget)?;
     let (address, load) = (state.entry.address, state.load());
     let lease = router.roster.lease(now, &id).ok_or(Refusal::NoTarget)?;
     let lease = Lease {
-        subject: need.prompt.map(|p| p.subject),
+        subject: need.subject,
         ..lease
     };
-    if let Some(prompt) = need.prompt {
-        router.subjects.sent(now, prompt.subject, &id);
+    if let Some(subject) = need.subject {
+        router.subjects.sent(now, subject, &id);
     }
     Ok(Pick {
         lease,
@@ -174,8 +165,8 @@
 ///
 /// A subject with much of the traffic is spread ahead of the bound: loads told
 /// late would let all instances fill one target after the other past it.
-fn spread(router: &Router, now: Time, usable: &[Candidate<'_>], prompt: Prompt) -> usize {
-    let running = router.subjects.running(now, prompt.subject);
+fn spread(router: &Router, now: Time, usable: &[Candidate<'_>], subject: Subject) -> usize {
+    let running = router.subjects.running(now, subject);
     let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
     let mean = f64::from(total) / usable.len() as f64;
     let (least, _) = BOUND_SHARES;
@@ -186,18 +177,15 @@
 /// First target in the prompt's order that is below the bound, or else the
 /// least loaded, with its place in the order. Requests are spread over the
 /// first `spread` of the order.
-fn by_prompt<'a>(
+fn by_subject<'a>(
     usable: &[Candidate<'a>],
-    prompt: Prompt,
+    subject: Subject,
     bound: u32,
     hash: u64,
     spread: usize,
 ) -> Option<(&'a TargetId, u32)> {
     let names = usable.iter().map(|(id, _)| (id.as_str(), 1));
-    let mut order: Vec<(usize, &str)> = rank(prompt.subject, names)
-        .into_iter()
-        .enumerate()
-        .collect();
+    let mut order: Vec<(usize, &str)> = rank(subject, names).into_iter().enumerate().collect();
     let spread = spread.min(order.len()).max(1);
     order[..spread].rotate_left((hash % spread as u64) as usize);
     let loads: BTreeMap<&str, Candidate<'a>> = usable.iter().map(|c| (c.0.as_str(), *c)).collect();
@@ -231,17 +219,17 @@
     router: &Router,
     now: Time,
     need: &Need<'_>,
-    prompt: Prompt,
+    subject: Subject,
     chosen: &TargetId,
 ) -> Option<SocketAddr> {
-    let last = router.subjects.place(prompt.subject);
+    let last = router.subjects.place(subject);
     if let Some(state) = last.and_then(|last| router.roster.get(last)) {
         let is_other = last.is_some_and(|last| last != chosen);
         return is_other.then_some(state.entry.address);
     }
     let settled = router.roster.of_service(need.service);
     let settled = settled.filter(|(_, s)| is_settled(s, now));
-    let order = rank(prompt.subject, settled.map(|(id, _)| (id.as_str(), 1)));
+    let order = rank(subject, settled.map(|(id, _)| (id.as_str(), 1)));
     let first = order.into_iter().next().filter(|id| id != chosen)?;
     router.roster.get(first).map(|s| s.entry.address)
 }
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -5,7 +5,7 @@
 mod roster;
 mod subjects;
 
-pub use choose::{Need, Pick, Prompt};
+pub use choose::{Need, Pick};
 pub use freshness::Freshness;
 pub use roster::{Ending, Lease, RosterRow};
 
--- a/crates/decision/tests/heavy.rs
+++ b/crates/decision/tests/heavy.rs
@@ -1,8 +1,8 @@
 //! Where work goes under heavy loads, with loads of others that are told late.
 
 use decision::{
-    Catalog, Ending, Lease, Need, Prompt, Router, RouterBounds, ServiceId, ServiceSpec, Stage,
-    TargetEntry, TargetId, Work, rank,
+    Catalog, Ending, Lease, Need, Router, RouterBounds, ServiceId, ServiceSpec, Stage, TargetEntry,
+    TargetId, Work, rank,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -73,10 +73,7 @@
             let instance = rng.random_range(0..load.instances);
             let need = Need {
                 service: &pool,
-                prompt: Some(Prompt {
-                    subject,
-                    tokens: 5_000,
-                }),
+                subject: Some(subject),
                 hash: rng.random(),
                 tried: &[],
             };
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -1,8 +1,8 @@
 //! Admission, choice of targets and limits on the operators' platform.
 
 use decision::{
-    Admission, Catalog, Ending, KeyOwner, Need, Prompt, Refusal, Repeat, Route, Router,
-    RouterBounds, ServiceSpec, Stage, TargetEntry, TargetId, Time, Work,
+    Admission, Catalog, Ending, KeyOwner, Need, Refusal, Repeat, Route, Router, RouterBounds,
+    ServiceSpec, Stage, TargetEntry, TargetId, Time, Work,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -100,10 +100,7 @@
         std::sync::LazyLock::new(|| "pool".into());
     Need {
         service: &POOL,
-        prompt: Some(Prompt {
-            subject,
-            tokens: 1_000,
-        }),
+        subject: Some(subject),
         hash: subject,
         tried: &[],
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -189,7 +189,7 @@
     pub(crate) fn choose(&mut self) -> Result<(Pick, Held), Refusal> {
         let need = Need {
             service: &self.admission.service,
-            prompt: self.head.prompt.filter(|_| self.admission.route.prompts),
+            subject: self.head.subject.filter(|_| self.admission.route.prompts),
             hash: self.hash,
             tried: &self.tried,
         };
@@ -235,11 +235,17 @@
         attempt::open(&self.call, pick, &forward, limit).await
     }
 
+    /// Whether another target may run the request after so many may have.
+    fn may_run_again(&self, runs: u32) -> bool {
+        let route = &self.admission.route;
+        route.repeat.is_repeatable() && runs < route.attempts
+    }
+
     /// Time for which this attempt may go without an answer.
     pub(crate) fn patience(&self) -> Duration {
         let route = &self.admission.route;
         let left = self.left();
-        let may_repeat = route.repeat.is_repeatable() && self.runs + 1 < route.attempts;
+        let may_repeat = self.may_run_again(self.runs + 1);
         let patience = match route.repeat {
             _ if !may_repeat => return left,
             Repeat::Idempotent => route.goal.mul_f64(PATIENCE),
@@ -299,9 +305,7 @@
         if !miss.has_not_run() {
             self.runs += 1;
         }
-        let route = &self.admission.route;
-        let may_repeat =
-            self.runs == 0 || (route.repeat.is_repeatable() && self.runs < route.attempts);
+        let may_repeat = self.runs == 0 || self.may_run_again(self.runs);
         let is_early = self.left() > ATTEMPT_MIN;
         if may_repeat && is_early && (!miss.has_arrived() || self.take_retry()) {
             self.gateway.metrics.count("retries", miss.word());
