Let two hubs follow the entries of targets

Every hub followed both tables, so that calls to the store grew with the failure domains. The entries of targets carry no bound on their age: two hubs, first in an order by rendezvous hashing, follow them with a wait of 1.5 s, and tell the other hubs at once; any hub reads as soon as it hears of no copy younger than 2.5 s.

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -12,10 +12,10 @@
 
 pub use pulse::{FeedAge, Heard, Outgoing, Proof, Pulse, Scope, Work};
 
-use crate::hash::winner;
+use crate::hash::{hash_parts, rank, winner};
 use crate::id::{DomainId, Incarnation, InstanceId, Time};
 use crate::members::Listing;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -305,6 +305,22 @@
         hub.is_none_or(|hub| hub.id == self.me.id)
     }
 
+    /// Whether this instance is one of the first `most` hubs, in an order by
+    /// rendezvous hashing of `key`, which spreads the work over the hubs.
+    pub fn is_first_hub(&self, now: Time, key: &str, most: usize) -> bool {
+        if !self.is_hub(now) {
+            return false;
+        }
+        let live = self.live(now);
+        let domains: BTreeSet<&DomainId> = live.iter().map(|l| &l.domain).collect();
+        let hubs = domains.into_iter().filter_map(|d| self.hub(now, d));
+        let hubs = hubs.map(|hub| (hub.id.as_str(), 1));
+        let order = rank(hash_parts(&[key.as_bytes()]), hubs);
+        let before = order.iter().position(|id| **id == *self.me.id);
+        // A hub that starts is not live; it reads for itself.
+        before.is_none_or(|before| before < most)
+    }
+
     /// Time since any hub's pulse came, if one ever did.
     pub fn silence(&self, now: Time) -> Option<Duration> {
         let told = self.hub_pulses().map(|(at, _)| at).max();
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -93,6 +93,27 @@
     }
 }
 
+#[test]
+fn a_table_has_so_many_readers_and_another_when_one_is_cut_off() {
+    let mut net = Net::new(40, 9);
+    net.run(Duration::from_secs(5));
+    let readers = |net: &Net, key: &str| -> BTreeSet<InstanceId> {
+        let reads = |f: &&Fleet| f.is_first_hub(net.now, key, 2);
+        let readers = net.fleets.values().filter(reads);
+        readers.map(|f| f.me().id.clone()).collect()
+    };
+    let first = readers(&net, "servers");
+    assert_eq!(first.len(), 2);
+    assert!(first.is_subset(&net.hubs()));
+    let lost = first.first().expect("two readers").clone();
+    net.cut.insert(lost.clone());
+    net.run(Duration::from_secs(4));
+    let mut replaced = readers(&net, "servers");
+    // It knows nobody any more, and reads for itself.
+    assert!(replaced.remove(&lost));
+    assert_eq!(replaced.len(), 2);
+}
+
 #[test]
 fn pulses_grow_with_instances_and_not_with_their_square() {
     let count = |instances| {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -10,12 +10,32 @@
 use serde_json::json;
 use std::time::Duration;
 
-/// Longest wait of one call for changes: with a pulse and an answer on top, an
-/// instance's copy stays younger than [`OLD`].
-const FEED_WAIT: Duration = Duration::from_secs(1);
-/// Estimated age of a hub's copy at which an instance reads for itself; the
-/// operators' tightest bound on a change is 2 s.
-const OLD: Duration = Duration::from_millis(1_500);
+/// How a table is followed.
+struct Pace {
+    /// Hubs that follow it.
+    readers: usize,
+    /// Longest wait of one call for changes: with the pulses on top, copies stay
+    /// younger than `old`.
+    wait: Duration,
+    /// Estimated age of the hubs' copies at which an instance reads for itself.
+    old: Duration,
+}
+
+/// Paces of the tables. Keys are honoured by the age of the operators' table,
+/// whose tightest bound is 2 s: every hub proves it anew each second. Entries
+/// of targets have no such bound, and their changes end a wait at once.
+const PACES: [Pace; 2] = [
+    Pace {
+        readers: usize::MAX,
+        wait: Duration::from_secs(1),
+        old: Duration::from_millis(1_500),
+    },
+    Pace {
+        readers: 2,
+        wait: Duration::from_millis(1_500),
+        old: Duration::from_millis(2_500),
+    },
+];
 /// Silence of the hubs at which an instance reads for itself: four pulses.
 const SILENT: Duration = Duration::from_millis(800);
 /// Interval at which an instance that doesn't read looks whether it must.
@@ -88,11 +108,12 @@
         let now = self.gateway.now();
         let fleet = self.gateway.fleet.borrow();
         let is_unknown = self.gateway.feeds.borrow()[self.table].version().is_none();
+        let Pace { readers, old, .. } = PACES[self.table];
         match () {
-            () if fleet.is_hub(now) => Some("hub"),
+            () if fleet.is_first_hub(now, TABLES[self.table], readers) => Some("hub"),
             () if is_unknown => Some("nothing known"),
             () if fleet.silence(now).is_none_or(|s| s > SILENT) => Some("hubs silent"),
-            () if fleet.feed_age(now, self.table).is_none_or(|a| a > OLD) => Some("hubs behind"),
+            () if fleet.feed_age(now, self.table).is_none_or(|a| a > old) => Some("hubs behind"),
             () => None,
         }
     }
@@ -134,7 +155,7 @@
     fn wait(&self) -> Duration {
         let now = self.gateway.now();
         if self.gateway.fleet.borrow().is_hub(now) {
-            FEED_WAIT
+            PACES[self.table].wait
         } else {
             Duration::ZERO
         }
