Let instances that start ask a seed for the entries of targets

At the start each instance read both tables, the list of instances, and began to follow both feeds before it had heard of any hub: five calls each, 570 at 114 instances. One that has seeds now reads the configuration, which must be proved new, and leaves the rest to a seed for 0.4 s, asked every 60 ms, one after the other. Seeds read at once. The decision when to read moved into a module without a network. Only two hubs read the list of instances.

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -9,8 +9,10 @@
 //! of this is soft: an instance that hears from no hub reads for itself.
 
 mod pulse;
+mod reader;
 
 pub use pulse::{FeedAge, Heard, Outgoing, Proof, Pulse, Scope, Work};
+pub use reader::Pace;
 
 use crate::hash::{hash_parts, rank, winner};
 use crate::id::{DomainId, Incarnation, InstanceId, Time};
@@ -66,6 +68,8 @@
 pub struct Fleet {
     me: Listing,
     incarnation: Incarnation,
+    /// Whether others can be asked at the start.
+    has_seeds: bool,
     peers: BTreeMap<InstanceId, Peer>,
     ticks: u64,
     /// Instance that is taken for the hub of the domain, and since when.
@@ -82,6 +86,7 @@
         Fleet {
             me,
             incarnation,
+            has_seeds: false,
             peers: BTreeMap::new(),
             ticks: 0,
             trial: None,
@@ -90,6 +95,13 @@
         }
     }
 
+    /// Tells that this instance has seeds to ask, and is none itself.
+    #[must_use]
+    pub fn with_seeds(mut self, has_seeds: bool) -> Self {
+        self.has_seeds = has_seeds;
+        self
+    }
+
     /// Takes the list of instances; those that are new count as just heard.
     pub fn listed(&mut self, now: Time, list: Vec<Listing>) {
         for listing in list {
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -1,7 +1,8 @@
 //! Hubs, loads and proofs among many instances, with loss and delay.
 
 use decision::{
-    Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, InstanceId, Listing, Outgoing, Time, Work,
+    Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, InstanceId, Listing, Outgoing, Pace, Time,
+    Work,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -114,6 +115,51 @@
     assert_eq!(replaced.len(), 2);
 }
 
+#[test]
+fn an_instance_that_starts_leaves_the_targets_to_its_seeds() {
+    const TOLD: Pace = Pace {
+        table: "servers",
+        readers: 2,
+        wait: Duration::from_millis(1_500),
+        old: Duration::from_millis(2_500),
+        at_start: false,
+    };
+    const READ: Pace = Pace {
+        at_start: true,
+        ..TOLD
+    };
+    let reason = |fleet: &Fleet, pace: &Pace, ms: u64, known: bool| {
+        fleet.reason_to_read(Duration::from_millis(ms), 0, pace, known)
+    };
+    let alone = Fleet::new(listing(0, 3), 1);
+    assert_eq!(reason(&alone, &TOLD, 0, false), Some("nothing known"));
+    let asking = Fleet::new(listing(0, 3), 1).with_seeds(true);
+    assert_eq!(reason(&asking, &READ, 0, false), Some("nothing known"));
+    assert_eq!(
+        reason(&asking, &READ, 10, true),
+        None,
+        "it may not be a hub"
+    );
+    assert_eq!(reason(&asking, &TOLD, 10, false), None);
+    let seeds_are_gone = reason(&asking, &TOLD, 500, false);
+    assert_eq!(seeds_are_gone, Some("nothing known"));
+    assert_eq!(
+        reason(&asking, &TOLD, 500, true),
+        Some("hub"),
+        "nobody answered"
+    );
+    let mut told = Fleet::new(listing(3, 3), 1).with_seeds(true);
+    let all = (0..9).map(|n| listing(n, 3)).collect();
+    told.listed(Time::ZERO, all);
+    assert!(!told.is_hub(Duration::from_millis(500)));
+    assert_eq!(
+        reason(&told, &TOLD, 500, true),
+        None,
+        "a hub's pulse may come"
+    );
+    assert_eq!(reason(&told, &TOLD, 900, true), Some("hubs silent"));
+}
+
 #[test]
 fn pulses_grow_with_instances_and_not_with_their_square() {
     let count = |instances| {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::state::{Gap, TABLES};
 use crate::{Error, Result, Settings, Shared};
-use decision::{FeedNews, InstanceId, Message, Pulse};
+use decision::{FeedNews, InstanceId, Message, Pulse, hash_parts};
 use peer::{Mesh as _, PeerEvent, WsMesh};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,9 @@
 /// Interval of pulses: loads told by others are as old as two of them, while
 /// an engine of the operators' sizes gets a request every 100 ms.
 const PULSE: Duration = Duration::from_millis(200);
+/// Interval at which a seed is asked: the store answers a seed in a few
+/// milliseconds, and all instances may start at once.
+const ASK: Duration = Duration::from_millis(60);
 /// Events of the mesh that wait.
 const EVENTS_WAITING: usize = 1_024;
 
@@ -41,10 +44,19 @@
             receiver.receive(&receiving, event);
         }
     });
+    let (asking, asker) = (gateway.clone(), mesh.clone());
+    tokio::task::spawn_local(async move {
+        for turn in 0.. {
+            if asking.is_started() {
+                break;
+            }
+            asker.ask_seed(&asking, turn);
+            tokio::time::sleep(ASK).await;
+        }
+    });
     let (pulsing, sender) = (gateway.clone(), mesh.clone());
     tokio::task::spawn_local(async move {
         loop {
-            sender.ask_seeds(&pulsing);
             sender.pulse(&pulsing);
             tokio::time::sleep(PULSE).await;
         }
@@ -70,24 +82,24 @@
         router.sweep(now);
     }
 
-    /// Asks the seeds for all that an instance needs, while it knows nothing.
-    fn ask_seeds(&self, gateway: &Shared) {
-        if gateway.is_started() {
-            return;
-        }
+    /// Asks one seed after the other for all that an instance needs, while it
+    /// knows nothing.
+    fn ask_seed(&self, gateway: &Shared, turn: usize) {
         let settings = gateway.settings.borrow();
+        let seeds = settings.other_seeds();
+        // Those that start together begin with different ones.
+        let first = hash_parts(&[settings.instance.as_bytes()]) as usize;
+        let Some(place) = first.wrapping_add(turn).checked_rem(seeds.len()) else {
+            return;
+        };
+        let address = seeds[place];
+        // Its name is not known; the mesh only needs one for the link.
+        let name = smol_str::format_smolstr!("seed {address}");
         let introduction = gateway.fleet.borrow().introduction(gateway.now());
-        for seed in &settings.seeds {
-            let mut address = *seed;
-            address.set_port(settings.seed_port.unwrap_or(seed.port()));
-            if address == settings.listen.peers {
-                continue;
-            }
-            // Its name is not known; the mesh only needs one for the link.
-            let name = smol_str::format_smolstr!("seed {address}");
-            let pulse = Message::Pulse(Box::new(introduction.clone()));
-            self.0.send(&name, address, &pulse);
-            for table in 0..TABLES.len() {
+        let pulse = Message::Pulse(Box::new(introduction));
+        self.0.send(&name, address, &pulse);
+        for (table, feed) in gateway.feeds.borrow().iter().enumerate() {
+            if feed.version().is_none() {
                 self.0.send(&name, address, &Message::NewsAsk(table as u8));
             }
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -135,6 +135,19 @@
         Err(faults)
     }
 
+    /// Addresses of the mesh of other instances to ask at the start.
+    pub(crate) fn other_seeds(&self) -> Vec<SocketAddr> {
+        let mesh =
+            |seed: &SocketAddr| SocketAddr::new(seed.ip(), self.seed_port.unwrap_or(seed.port()));
+        let seeds = self.seeds.iter().map(mesh);
+        seeds.filter(|seed| *seed != self.listen.peers).collect()
+    }
+
+    /// Whether others are seeds and this instance is none.
+    pub(crate) fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty() && self.other_seeds().len() == self.seeds.len()
+    }
+
     /// Lists every fault of the settings.
     pub fn faults(&self) -> Vec<Fault> {
         let bounds = &self.bounds;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -86,7 +86,7 @@
         Rc::new(Gateway {
             clock: Clock::start(),
             router: RefCell::new(Router::new(bounds)),
-            fleet: RefCell::new(Fleet::new(listing, incarnation)),
+            fleet: RefCell::new(Fleet::new(listing, incarnation).with_seeds(settings.has_seeds())),
             feeds: RefCell::default(),
             store: StoreClient::new(settings.store.address, STORE_TIMEOUT),
             metrics: Metrics::default(),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -3,41 +3,35 @@
 use crate::Shared;
 use crate::fleet::Mesh;
 use crate::state::{Gap, Phase, TABLES};
-use decision::{FeedNews, FeedRow, Time};
-use platform::rows::{INSTANCES, Row, RowName, Rows, Transaction};
+use decision::{FeedNews, FeedRow, Pace, Time};
+use platform::rows::{self, INSTANCES, Row, RowName, Rows, Transaction};
 use platform::{StoreError, put};
 use rand::Rng;
 use serde_json::json;
 use std::time::Duration;
 
-/// How a table is followed.
-struct Pace {
-    /// Hubs that follow it.
-    readers: usize,
-    /// Longest wait of one call for changes: with the pulses on top, copies stay
-    /// younger than `old`.
-    wait: Duration,
-    /// Estimated age of the hubs' copies at which an instance reads for itself.
-    old: Duration,
-}
-
 /// Paces of the tables. Keys are honoured by the age of the operators' table,
 /// whose tightest bound is 2 s: every hub proves it anew each second. Entries
 /// of targets have no such bound, and their changes end a wait at once.
 const PACES: [Pace; 2] = [
     Pace {
+        table: rows::OPERATORS,
         readers: usize::MAX,
         wait: Duration::from_secs(1),
         old: Duration::from_millis(1_500),
+        at_start: true,
     },
     Pace {
-        readers: 2,
+        table: rows::TARGETS,
+        readers: LIST_READERS,
         wait: Duration::from_millis(1_500),
         old: Duration::from_millis(2_500),
+        at_start: false,
     },
 ];
-/// Silence of the hubs at which an instance reads for itself: four pulses.
-const SILENT: Duration = Duration::from_millis(800);
+/// Hubs that follow what has no bound on its age: a second one, so that
+/// nobody waits where one is lost.
+const LIST_READERS: usize = 2;
 /// Interval at which an instance that doesn't read looks whether it must.
 const LOOK: Duration = Duration::from_millis(100);
 /// Pause after a read of an instance that is no hub; the spread of it keeps the
@@ -102,20 +96,11 @@
         }
     }
 
-    /// Why this instance reads now: hubs read, others only while no hub has new
-    /// copies.
     fn reason(&self) -> Option<&'static str> {
         let now = self.gateway.now();
+        let known = self.gateway.feeds.borrow()[self.table].version().is_some();
         let fleet = self.gateway.fleet.borrow();
-        let is_unknown = self.gateway.feeds.borrow()[self.table].version().is_none();
-        let Pace { readers, old, .. } = PACES[self.table];
-        match () {
-            () if fleet.is_first_hub(now, TABLES[self.table], readers) => Some("hub"),
-            () if is_unknown => Some("nothing known"),
-            () if fleet.silence(now).is_none_or(|s| s > SILENT) => Some("hubs silent"),
-            () if fleet.feed_age(now, self.table).is_none_or(|a| a > old) => Some("hubs behind"),
-            () => None,
-        }
+        fleet.reason_to_read(now, self.table, &PACES[self.table], known)
     }
 
     fn note(&mut self, reason: Option<&'static str>) {
@@ -252,9 +237,11 @@
         tokio::time::sleep(pause.mul_f64(jitter())).await;
         pause = (pause * 2).min(PAUSE.1);
     }
+    while gateway.fleet.borrow().is_settling(gateway.now()) {
+        tokio::time::sleep(LOOK).await;
+    }
     loop {
-        let is_alone = gateway.fleet.borrow().live(gateway.now()).len() < 2;
-        if is_alone || gateway.fleet.borrow().is_hub(gateway.now()) {
+        if reads_list(gateway) {
             read_list(gateway).await;
         }
         tokio::time::sleep(LIST_INTERVAL.mul_f64(jitter())).await;
@@ -264,6 +251,12 @@
     }
 }
 
+fn reads_list(gateway: &Shared) -> bool {
+    let now = gateway.now();
+    let fleet = gateway.fleet.borrow();
+    fleet.live(now).len() < 2 || fleet.is_first_hub(now, INSTANCES, LIST_READERS)
+}
+
 async fn read_list(gateway: &Shared) {
     match gateway.store.read(INSTANCES, "", "").await {
         Ok(rows) => {
