--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -301,10 +301,18 @@
     }
 
     /// Hub of a failure domain: of the live instances on the strongest machines
-    /// the first by rendezvous hashing.
+    /// the first by rendezvous hashing. Where no other is known to serve, those
+    /// that start count too: instances that start together know each other's
+    /// state late, and would all act as hubs.
     pub fn hub(&self, now: Time, domain: &str) -> Option<&Listing> {
         let here = self.live(now).into_iter().filter(|l| l.domain == domain);
-        let here: Vec<&Listing> = here.collect();
+        let mut here: Vec<&Listing> = here.collect();
+        if here.iter().all(|l| l.id == self.me.id) {
+            let me = Some(&self.me).filter(|me| !me.leaving);
+            let others = self.peers.values().filter(|p| self.is_heard(p, now));
+            let starting = me.into_iter().chain(others.map(|p| &p.listing));
+            here = starting.filter(|l| l.domain == domain).collect();
+        }
         let power = here.iter().map(|l| l.power).max()?;
         let strongest = here.iter().filter(|l| l.power == power);
         let id = winner(domain, strongest.map(|l| l.id.as_str()))?;
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -29,6 +29,7 @@
     cut: BTreeSet<InstanceId>,
     now: Time,
     sent: usize,
+    links: BTreeSet<(InstanceId, InstanceId)>,
 }
 
 impl Net {
@@ -45,6 +46,7 @@
             cut: BTreeSet::new(),
             now: Time::ZERO,
             sent: 0,
+            links: BTreeSet::new(),
         }
     }
 
@@ -65,6 +67,7 @@
             }
             self.sent += out.len();
             for (from, outgoing) in out {
+                self.links.insert((from.clone(), outgoing.to.clone()));
                 if self.cut.contains(&from) || self.cut.contains(&outgoing.to) {
                     continue;
                 }
@@ -160,6 +163,33 @@
     assert_eq!(reason(&told, &TOLD, 900, true), Some("hubs silent"));
 }
 
+#[test]
+fn instances_that_start_together_open_few_connections() {
+    const INSTANCES: usize = 93;
+    let mut net = Net::new(0, 3);
+    let all: Vec<Listing> = (0..INSTANCES)
+        .map(|n| Listing {
+            starting: true,
+            ..listing(n, 3)
+        })
+        .collect();
+    for me in &all {
+        let mut fleet = Fleet::new(me.clone(), 1);
+        fleet.listed(Time::ZERO, all.clone());
+        net.fleets.insert(me.id.clone(), fleet);
+    }
+    net.run(Duration::from_millis(600));
+    for fleet in net.fleets.values_mut() {
+        fleet.start(false);
+    }
+    net.run(Duration::from_secs(5));
+    assert_eq!(net.hubs().len(), 3);
+    // To the hub and back, once more for a hub that is replaced as it is known
+    // who serves, and between the hubs.
+    let links = net.links.len();
+    assert!(links <= INSTANCES * 4 + 20, "{links} connections");
+}
+
 #[test]
 fn pulses_grow_with_instances_and_not_with_their_square() {
     let count = |instances| {
