--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -8,10 +8,12 @@
 //! so that its calls grow with the number of domains and not of instances. All
 //! of this is soft: an instance that hears from no hub reads for itself.
 
+mod counts;
 mod pulse;
 mod reader;
 
-pub use pulse::{FeedAge, Heard, Outgoing, Proof, Pulse, Scope, Work};
+pub use counts::{Counts, Tag};
+pub use pulse::{FeedAge, Heard, Outgoing, Proof, Pulse, Scope, Work, target_tag};
 pub use reader::Pace;
 
 use crate::hash::{hash_parts, rank, winner};
@@ -42,6 +44,15 @@
 const LATE_MAX_MS: u64 = 3_000;
 /// Pulses of a hub of which one tells all instances; the others tell the hub.
 const LISTS: u64 = 3;
+/// Lists of a hub over which all that is known of each instance is spread.
+const SLICES: u32 = 32;
+/// Time for which what has changed of an instance is told in each list.
+const CHANGE_TOLD: Duration = Duration::from_secs(3);
+/// Busy targets for each pulse between two that tell the work at all of them:
+/// at 14 KB a second for control, an instance can be told of 1,000 a second.
+const TARGETS_A_PULSE: usize = 200;
+/// Most pulses from one that tells the work to the next: a second.
+const WORK_PULSES: usize = 5;
 /// Subjects that a hub's pulse names.
 const SUBJECTS: usize = 16;
 /// Own pulses whose work is remembered until a hub's answer.
@@ -51,7 +62,13 @@
 struct Peer {
     listing: Listing,
     incarnation: Incarnation,
+    /// Tag of its life.
+    tag: Tag,
     heard: Time,
+    /// When what is known of it last changed.
+    changed: Time,
+    /// Whether this instance, as a hub, has told it of all others.
+    greeted: bool,
     /// When it last failed to answer; it is live again once it is heard later.
     failed: Option<Time>,
     /// Time of its last pulse on its own clock.
@@ -59,6 +76,8 @@
     /// When its last pulse came, and what its loads covered.
     told: Option<(Time, Scope)>,
     work: Work,
+    /// When its work was told.
+    worked: Option<Time>,
     /// Estimated moments at which its copies were the newest.
     feeds: Vec<Option<Time>>,
 }
@@ -107,19 +126,23 @@
         for listing in list {
             let is_other = listing.id != self.me.id && !listing.leaving;
             if is_other && !self.peers.contains_key(&listing.id) {
-                self.meet(now, listing, 0);
+                self.meet(now, now, listing, 0);
             }
         }
     }
 
-    fn meet(&mut self, heard: Time, listing: Listing, incarnation: Incarnation) {
+    fn meet(&mut self, now: Time, heard: Time, listing: Listing, incarnation: Incarnation) {
         let peer = Peer {
+            tag: life_tag(&listing.id, incarnation),
             incarnation,
             heard,
+            changed: now,
+            greeted: false,
             failed: None,
             pulse_ms: None,
             told: None,
             work: Work::default(),
+            worked: None,
             feeds: Vec::new(),
             listing,
         };
@@ -154,7 +177,8 @@
             echo_ms: None,
             scope: Scope::Own,
             heard: self.heard(now, |_| true),
-            work: Work::default(),
+            ages: Counts::default(),
+            work: None,
             feeds: Vec::new(),
         }
     }
@@ -169,6 +193,7 @@
     pub fn lost(&mut self, now: Time, id: &str) {
         if let Some(peer) = self.peers.get_mut(id) {
             peer.failed = Some(now);
+            peer.greeted = false;
         }
     }
 
@@ -197,6 +222,7 @@
         for heard in pulse.heard {
             self.hear(now, heard);
         }
+        self.hear_ages(now, &pulse.ages);
         let Some(peer) = self.peers.get_mut(from) else {
             return Proof::new();
         };
@@ -214,10 +240,15 @@
         peer.feeds = estimates
             .map(|f| f.as_ref().map(|f| now.saturating_sub(age(f))))
             .collect();
-        if pulse.scope == Scope::All {
-            self.take_total(now, pulse.echo_ms, pulse.work);
-        } else {
-            peer.work = pulse.work;
+        match pulse.work {
+            Some(work) if pulse.scope == Scope::All => {
+                self.take_total(now, pulse.echo_ms, work);
+            }
+            Some(work) => {
+                peer.work = work;
+                peer.worked = Some(now);
+            }
+            None => {}
         }
         let Some(echo) = pulse.echo_ms.map(Duration::from_millis) else {
             return Proof::new();
@@ -252,16 +283,33 @@
                 let is_newer = heard.incarnation > peer.incarnation;
                 if is_newer {
                     peer.pulse_ms = None;
+                    peer.greeted = false;
                 }
                 if is_newer || (heard.incarnation == peer.incarnation && at > peer.heard) {
                     let leaving = heard.listing.leaving || (!is_newer && peer.listing.leaving);
-                    peer.listing = heard.listing;
-                    peer.listing.leaving = leaving;
+                    let listing = Listing {
+                        leaving,
+                        ..heard.listing
+                    };
+                    if is_newer || peer.listing != listing {
+                        peer.changed = now;
+                    }
+                    peer.tag = life_tag(&id, heard.incarnation);
+                    peer.listing = listing;
                     peer.incarnation = heard.incarnation;
                     peer.heard = peer.heard.max(at);
                 }
             }
-            None => self.meet(at, heard.listing, heard.incarnation),
+            None => self.meet(now, at, heard.listing, heard.incarnation),
+        }
+    }
+
+    fn hear_ages(&mut self, now: Time, ages: &Counts) {
+        for peer in self.peers.values_mut() {
+            if let Some(age_ms) = ages.0.get(&peer.tag) {
+                let age = Duration::from_millis(u64::from(*age_ms));
+                peer.heard = peer.heard.max(now.saturating_sub(age));
+            }
         }
     }
 
@@ -375,8 +423,8 @@
 
     fn sum(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Work {
         let is_fresh = |peer: &Peer| {
-            peer.told
-                .is_some_and(|(at, scope)| scope != Scope::All && now.saturating_sub(at) < WORK_AGE)
+            let worked = peer.worked;
+            worked.is_some_and(|at| now.saturating_sub(at) < WORK_AGE)
         };
         let mut sum = Work::default();
         for peer in self.peers.values().filter(|p| wanted(p) && is_fresh(p)) {
@@ -396,46 +444,95 @@
         if self.told.len() > PULSES {
             self.told.pop_front();
         }
-        let pulse = |scope, heard, work| Pulse {
+        let pulse = |scope, heard, ages, work| Pulse {
             at_ms,
             echo_ms: None,
             scope,
             heard,
+            ages,
             work,
             feeds: feeds.to_vec(),
         };
         let mut out = Vec::new();
         if self.is_hub(now) {
-            let domain = self.me.domain.clone();
-            let is_here = |p: &Peer| p.listing.domain == domain;
-            let mut domain_work = self.sum(now, is_here);
-            domain_work.add(own);
-            domain_work.keep_subjects(SUBJECTS);
-            let mut all_work = self.sum(now, |_| true);
-            all_work.add(own);
-            all_work.keep_subjects(SUBJECTS);
-            let tells_all = self.ticks.is_multiple_of(LISTS);
-            let to_hubs = self.heard(now, |p| tells_all && is_here(p));
-            let to_hubs = pulse(Scope::Domain, to_hubs, domain_work);
-            let to_domain = self.heard(now, |_| tells_all);
-            let to_domain = pulse(Scope::All, to_domain, all_work);
-            for hub in self.other_hubs(now) {
-                self.send(&mut out, &hub, &to_hubs);
-            }
-            let here = self.peers.values().filter(|p| is_here(p));
-            // Those that are silent may not know of this hub.
-            let here = here.filter(|p| self.is_heard(p, now) || tells_all && !p.listing.leaving);
-            let here: Vec<Listing> = here.map(|p| p.listing.clone()).collect();
-            for listing in here {
-                self.send(&mut out, &listing, &to_domain);
-            }
+            self.tick_hub(now, own, pulse, &mut out);
         } else if let Some(hub) = self.hub(now, &self.me.domain).cloned() {
-            let own_pulse = pulse(Scope::Own, self.heard(now, |_| false), own.clone());
+            let heard = self.heard(now, |_| false);
+            let own_pulse = pulse(Scope::Own, heard, Counts::default(), Some(own.clone()));
             self.send(&mut out, &hub, &own_pulse);
         }
         out
     }
 
+    fn tick_hub(
+        &mut self,
+        now: Time,
+        own: &Work,
+        pulse: impl Fn(Scope, Vec<Heard>, Counts, Option<Work>) -> Pulse,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let domain = self.me.domain.clone();
+        let is_here = |p: &Peer| p.listing.domain == domain;
+        let tells_all = self.ticks.is_multiple_of(LISTS);
+        let is_due = |p: &Peer| tells_all && self.is_due(p, now);
+        let to_hubs = pulse(
+            Scope::Domain,
+            self.heard(now, |p| is_here(p) && is_due(p)),
+            self.ages(now, |p| tells_all && is_here(p)),
+            self.work_to_tell(now, own, is_here),
+        );
+        let to_domain = pulse(
+            Scope::All,
+            self.heard(now, is_due),
+            self.ages(now, |_| tells_all),
+            self.work_to_tell(now, own, |_| true),
+        );
+        let greeting = self.heard(now, is_here);
+        for hub in self.other_hubs(now) {
+            self.tell(out, &hub, &to_hubs, &greeting);
+        }
+        let greeting = self.heard(now, |_| true);
+        let here = self.peers.values().filter(|p| is_here(p));
+        // Those that are silent may not know of this hub.
+        let here = here.filter(|p| self.is_heard(p, now) || tells_all && !p.listing.leaving);
+        let here: Vec<Listing> = here.map(|p| p.listing.clone()).collect();
+        for listing in here {
+            self.tell(out, &listing, &to_domain, &greeting);
+        }
+    }
+
+    /// Sends a pulse, the first one with all that is known of others.
+    fn tell(&mut self, out: &mut Vec<Outgoing>, to: &Listing, pulse: &Pulse, greeting: &[Heard]) {
+        let greeted = self.peers.get_mut(&to.id).map(|p| &mut p.greeted);
+        if greeted.is_some_and(|greeted| std::mem::replace(greeted, true)) {
+            return self.send(out, to, pulse);
+        }
+        let first = Pulse {
+            heard: greeting.to_vec(),
+            ..pulse.clone()
+        };
+        self.send(out, to, &first);
+    }
+
+    /// Whether all that is known of an instance is told in this list.
+    fn is_due(&self, peer: &Peer, now: Time) -> bool {
+        let turn = (self.ticks / LISTS) as u32 % SLICES;
+        now.saturating_sub(peer.changed) < CHANGE_TOLD || peer.tag % SLICES == turn
+    }
+
+    /// Work of this instance and of some others, if it is told in this pulse.
+    fn work_to_tell(&self, now: Time, own: &Work, wanted: impl Fn(&Peer) -> bool) -> Option<Work> {
+        let mut work = self.sum(now, wanted);
+        work.add(own);
+        let pulses = work.targets.0.len().div_ceil(TARGETS_A_PULSE);
+        let pulses = pulses.clamp(1, WORK_PULSES) as u64;
+        if !self.ticks.is_multiple_of(pulses) {
+            return None;
+        }
+        work.keep_subjects(SUBJECTS);
+        Some(work)
+    }
+
     fn send(&self, out: &mut Vec<Outgoing>, to: &Listing, pulse: &Pulse) {
         let echo_ms = self.peers.get(&to.id).and_then(|p| p.pulse_ms);
         out.push(Outgoing {
@@ -475,6 +572,12 @@
         here.map(|p| p.listing.clone()).collect()
     }
 
+    fn ages(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Counts {
+        let age = |p: &Peer| now.saturating_sub(p.heard);
+        let known = self.peers.values().filter(|p| wanted(p) && age(p) < FORGET);
+        Counts(known.map(|p| (p.tag, age(p).as_millis() as u32)).collect())
+    }
+
     fn heard(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Vec<Heard> {
         let me = Heard {
             listing: self.me.clone(),
@@ -491,3 +594,7 @@
         std::iter::once(me).chain(others).collect()
     }
 }
+
+fn life_tag(id: &str, incarnation: Incarnation) -> Tag {
+    counts::tag(&[id.as_bytes(), &incarnation.to_le_bytes()])
+}
--- a/crates/decision/src/fleet/pulse.rs
+++ b/crates/decision/src/fleet/pulse.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other a few times a second.
 
-use crate::id::{Incarnation, InstanceId, TargetId, Time};
+use super::counts::{Counts, Tag, tag};
+use crate::id::{Incarnation, InstanceId, Time};
 use crate::members::Listing;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -48,12 +49,17 @@
     pub age_ms: u32,
 }
 
+/// Short name of a target in pulses.
+pub fn target_tag(id: &str) -> Tag {
+    tag(&[id.as_bytes()])
+}
+
 /// Work that instances have at targets.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
-    /// Requests at each target.
+    /// Requests at each target, by its [`target_tag`].
     #[serde(rename = "t", default)]
-    pub targets: BTreeMap<TargetId, u32>,
+    pub targets: Counts,
     /// Recent requests of the most frequent subjects, in hundredths.
     #[serde(rename = "s", default)]
     pub subjects: BTreeMap<u64, u32>,
@@ -62,8 +68,8 @@
 impl Work {
     /// Adds the work of others.
     pub fn add(&mut self, other: &Work) {
-        for (target, load) in &other.targets {
-            *self.targets.entry(target.clone()).or_insert(0) += load;
+        for (target, load) in &other.targets.0 {
+            *self.targets.0.entry(*target).or_insert(0) += load;
         }
         for (subject, count) in &other.subjects {
             *self.subjects.entry(*subject).or_insert(0) += count;
@@ -72,8 +78,8 @@
 
     /// Takes off work that was counted twice.
     pub(super) fn subtract(&mut self, other: &Work) {
-        for (target, load) in &other.targets {
-            if let Some(all) = self.targets.get_mut(target) {
+        for (target, load) in &other.targets.0 {
+            if let Some(all) = self.targets.0.get_mut(target) {
                 *all = all.saturating_sub(*load);
             }
         }
@@ -108,12 +114,16 @@
     /// What the loads cover.
     #[serde(rename = "s")]
     pub scope: Scope,
-    /// Instances, the sender included.
+    /// Instances, the sender included: those that changed lately or are new to
+    /// the receiver, and a few of the others in turn.
     #[serde(rename = "m")]
     pub heard: Vec<Heard>,
-    /// Work at targets.
+    /// Milliseconds since instances were heard, by the tags of their lives.
+    #[serde(rename = "h", default)]
+    pub ages: Counts,
+    /// Work at targets; `None` where it is not told this time.
     #[serde(rename = "l", default)]
-    pub work: Work,
+    pub work: Option<Work>,
     /// Copies of the store's tables, in a fixed order.
     #[serde(rename = "f", default)]
     pub feeds: Vec<Option<FeedAge>>,
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -54,7 +54,9 @@
 pub use document::{CallRule, Document, Fault, Kind, Limits, TargetSpec, Versioned, WorkspaceSpec};
 pub use error::{Error, Ran, Result, Step};
 pub use feed::{Applied, Feed, FeedNews, FeedRow};
-pub use fleet::{FeedAge, Fleet, Heard, Outgoing, Pace, Proof, Pulse, Scope, Work};
+pub use fleet::{
+    Counts, FeedAge, Fleet, Heard, Outgoing, Pace, Proof, Pulse, Scope, Tag, Work, target_tag,
+};
 pub use hash::{chat_id, digest, hash_parts, rank};
 pub use id::{
     AskId, AttemptId, ChatId, Digest, DomainId, GrantId, Incarnation, InstanceId, RequestId,
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -199,7 +199,7 @@
 
     /// Requests of this instance that are at targets.
     pub fn in_flight(&self) -> u32 {
-        self.roster.own().values().sum()
+        self.roster.own().0.values().sum()
     }
 
     /// Every target, for the dump.
--- a/crates/decision/src/router/roster.rs
+++ b/crates/decision/src/router/roster.rs
@@ -1,6 +1,7 @@
 //! Targets as their entries and answers show them.
 
 use crate::catalog::{Stage, TargetEntry};
+use crate::fleet::{Counts, Tag, target_tag};
 use crate::id::{ServiceId, TargetId, Time};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -67,6 +68,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
     pub(crate) entry: TargetEntry,
+    /// Short name in pulses.
+    tag: Tag,
     pub(crate) generation: u64,
     pub(crate) cold_until: Time,
     pub(crate) aside_until: Time,
@@ -159,6 +162,7 @@
                     entry.cold_left
                 };
                 let state = TargetState {
+                    tag: target_tag(id),
                     generation: self.generations,
                     cold_until: now + cold,
                     aside_until: Time::ZERO,
@@ -253,15 +257,15 @@
         }
     }
 
-    pub(crate) fn others(&mut self, loads: &BTreeMap<TargetId, u32>) {
-        for (id, state) in &mut self.targets {
-            state.others = loads.get(id).copied().unwrap_or(0);
+    pub(crate) fn others(&mut self, loads: &Counts) {
+        for state in self.targets.values_mut() {
+            state.others = loads.0.get(&state.tag).copied().unwrap_or(0);
         }
     }
 
-    pub(crate) fn own(&self) -> BTreeMap<TargetId, u32> {
-        let busy = self.targets.iter().filter(|(_, s)| s.own > 0);
-        busy.map(|(id, s)| (id.clone(), s.own)).collect()
+    pub(crate) fn own(&self) -> Counts {
+        let busy = self.targets.values().filter(|s| s.own > 0);
+        Counts(busy.map(|s| (s.tag, s.own)).collect())
     }
 
     pub(crate) fn rows(&self, now: Time) -> Vec<RosterRow> {
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -1,8 +1,8 @@
 //! Hubs, loads and proofs among many instances, with loss and delay.
 
 use decision::{
-    Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, InstanceId, Listing, Outgoing, Pace, Time,
-    Work,
+    Applied, Counts, Feed, FeedAge, FeedNews, FeedRow, Fleet, InstanceId, Listing, Outgoing, Pace,
+    Time, Work, target_tag,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -30,6 +30,8 @@
     now: Time,
     sent: usize,
     links: BTreeSet<(InstanceId, InstanceId)>,
+    /// Bytes that each instance sent and received, while they are counted.
+    bytes: Option<BTreeMap<InstanceId, usize>>,
 }
 
 impl Net {
@@ -47,6 +49,7 @@
             now: Time::ZERO,
             sent: 0,
             links: BTreeSet::new(),
+            bytes: None,
         }
     }
 
@@ -68,6 +71,7 @@
             self.sent += out.len();
             for (from, outgoing) in out {
                 self.links.insert((from.clone(), outgoing.to.clone()));
+                self.count(&from, &outgoing);
                 if self.cut.contains(&from) || self.cut.contains(&outgoing.to) {
                     continue;
                 }
@@ -78,6 +82,15 @@
         }
     }
 
+    fn count(&mut self, from: &InstanceId, outgoing: &Outgoing) {
+        let Some(bytes) = &mut self.bytes else { return };
+        let mut frame = Vec::new();
+        ciborium::into_writer(&outgoing.pulse, &mut frame).expect("a pulse has no bad types");
+        for id in [from, &outgoing.to] {
+            *bytes.entry(id.clone()).or_default() += frame.len();
+        }
+    }
+
     fn hubs(&self) -> BTreeSet<InstanceId> {
         let hubs = self.fleets.iter().filter(|(_, f)| f.is_hub(self.now));
         hubs.map(|(id, _)| id.clone()).collect()
@@ -209,7 +222,10 @@
     let mut net = Net::new(40, 4);
     for number in 0..40 {
         let work = Work {
-            targets: BTreeMap::from([("t1".into(), 2), (format!("own{number}").into(), 1)]),
+            targets: Counts(BTreeMap::from([
+                (target_tag("t1"), 2),
+                (target_tag(&format!("own{number}")), 1),
+            ])),
             subjects: BTreeMap::from([(7, 150), (1_000 + number as u64, 50)]),
         };
         net.work.insert(listing(number, 4).id, work);
@@ -217,13 +233,57 @@
     net.run(Duration::from_secs(3));
     for (id, fleet) in &net.fleets {
         let others = fleet.others(net.now);
-        assert_eq!(others.targets["t1"], 78, "at {id}");
-        let total: u32 = others.targets.values().sum();
+        assert_eq!(others.targets.0[&target_tag("t1")], 78, "at {id}");
+        let total: u32 = others.targets.0.values().sum();
         assert_eq!(total, 78 + 39, "at {id}");
         assert_eq!(others.subjects[&7], 39 * 150, "at {id}");
     }
 }
 
+#[test]
+fn control_at_the_planned_size_stays_within_its_bytes() {
+    const INSTANCES: usize = 370;
+    const TARGETS: usize = 1_000;
+    /// Bytes a second that an instance may spend on control, by the first letter.
+    const BOUND: usize = 14_000;
+    let mut net = Net::new(INSTANCES, 9);
+    for number in 0..INSTANCES {
+        // Each instance has requests at some targets, all together at every one.
+        let busy = (0..9).map(|n| (target_tag(&format!("t{}", (number * 9 + n) % TARGETS)), 1));
+        let work = Work {
+            targets: Counts(busy.collect()),
+            subjects: (0..4).map(|n| (number as u64 * 4 + n, 100)).collect(),
+        };
+        net.work.insert(listing(number, 9).id, work);
+    }
+    net.run(Duration::from_secs(5));
+    net.bytes = Some(BTreeMap::new());
+    net.run(Duration::from_secs(4));
+    let hubs = net.hubs();
+    let bytes = net.bytes.take().expect("counted");
+    for (id, bytes) in bytes.iter().filter(|(id, _)| !hubs.contains(*id)) {
+        assert!(bytes / 4 <= BOUND, "{id}: {} bytes a second", bytes / 4);
+    }
+}
+
+#[test]
+fn an_instance_that_starts_again_is_told_of_all_others_at_once() {
+    let mut net = Net::new(60, 3);
+    net.run(Duration::from_secs(8));
+    let hubs = net.hubs();
+    let again = net.fleets.keys().find(|id| !hubs.contains(*id)).cloned();
+    let again = again.expect("an instance that is no hub");
+    let listing = net.fleets[&again].me().clone();
+    // It knows its seed alone.
+    let mut fleet = Fleet::new(listing, 2);
+    let hub = net.fleets[&again].hub(net.now, &fleet.me().domain).cloned();
+    fleet.listed(net.now, hub.into_iter().collect());
+    net.fleets.insert(again.clone(), fleet);
+    net.run(Duration::from_millis(1_200));
+    assert_eq!(net.fleets[&again].live(net.now).len(), 60);
+    assert_eq!(net.fleets[&again].share(net.now).0, 60);
+}
+
 #[test]
 fn a_hub_that_dies_is_replaced_and_leaves_the_live_list() {
     let mut net = Net::new(20, 2);
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -1,8 +1,8 @@
 //! Admission, choice of targets and limits on the operators' platform.
 
 use decision::{
-    Admission, Catalog, Ending, KeyOwner, Need, Refusal, Repeat, Route, Router, RouterBounds,
-    ServiceSpec, Stage, TargetEntry, TargetId, Time, Work,
+    Admission, Catalog, Counts, Ending, KeyOwner, Need, Refusal, Repeat, Route, Router,
+    RouterBounds, ServiceSpec, Stage, TargetEntry, TargetId, Time, Work, target_tag,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -200,7 +200,7 @@
     let mut router = router(4);
     let home = router.choose(Time::ZERO, &prompt(9)).expect("a target");
     router.others(Work {
-        targets: BTreeMap::from([(home.lease.target.clone(), 40)]),
+        targets: Counts(BTreeMap::from([(target_tag(&home.lease.target), 40)])),
         ..Work::default()
     });
     let next = router.choose(Time::ZERO, &prompt(9)).expect("a target");
@@ -339,12 +339,12 @@
     let new = router.choose(SECOND, &prompt(1)).expect("a target");
     router.ended(SECOND, &old.lease, Ending::Broken);
     assert_eq!(
-        router.own_work(SECOND).targets[&id(0)],
+        router.own_work(SECOND).targets.0[&target_tag(&id(0))],
         1,
         "the old life's end is not its own"
     );
     router.ended(SECOND, &new.lease, Ending::Whole);
-    assert!(router.own_work(SECOND).targets.is_empty());
+    assert!(router.own_work(SECOND).targets.0.is_empty());
 }
 
 #[test]
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -20,8 +20,8 @@
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// Silence after which a connection is given up.
 const PONG_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Idle time after which a connection is closed: a connection costs both ends
-/// about 20 KiB, and what is in use carries a frame at least once a second.
+/// Idle time after which a connection is closed, because it costs both ends a
+/// task and buffers: 25 pulses, which connections in use carry.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause before a peer that refused is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(300);
