--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -60,19 +60,19 @@
     if usable.is_empty() {
         return Err(Refusal::NoTarget);
     }
-    let bound = bound(router, now, &usable, need.hash);
+    let bound = bound(router, &usable, need.hash);
     let found = match need.subject {
         Some(subject) => {
             let spread = spread(router, now, &usable, subject);
-            by_subject(now, &usable, subject, (bound, spread), need.hash)
+            by_subject(&usable, subject, bound, need.hash, spread)
         }
-        None => least_loaded(now, &usable, need.hash).map(|id| (id, 0)),
+        None => least_loaded(&usable, need.hash).map(|id| (id, 0)),
     };
     let (id, place) = found.ok_or(Refusal::Full)?;
     let id = id.clone();
     let fetch = need.subject.and_then(|s| holder(router, now, need, s, &id));
     let state = router.roster.get(&id).ok_or(Refusal::NoTarget)?;
-    let (address, load) = (state.entry.address, state.load(now));
+    let (address, load) = (state.entry.address, state.load());
     let lease = router.roster.lease(now, &id).ok_or(Refusal::NoTarget)?;
     let lease = Lease {
         subject: need.subject,
@@ -151,8 +151,8 @@
 
 /// Requests that a target may have for this one to join them, from the mean of
 /// the pool.
-fn bound(router: &Router, now: Time, usable: &[Candidate<'_>], hash: u64) -> u32 {
-    let total: u32 = usable.iter().map(|(_, s)| s.load(now)).sum();
+fn bound(router: &Router, usable: &[Candidate<'_>], hash: u64) -> u32 {
+    let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
     let mean = f64::from(total + 1) / usable.len() as f64;
     let drawn = (hash >> 11) as f64 / (1_u64 << 53) as f64;
     let (least, most) = BOUND_SHARES;
@@ -167,7 +167,7 @@
 /// late would let all instances fill one target after the other past it.
 fn spread(router: &Router, now: Time, usable: &[Candidate<'_>], subject: Subject) -> usize {
     let running = router.subjects.running(now, subject);
-    let total: u32 = usable.iter().map(|(_, s)| s.load(now)).sum();
+    let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
     let mean = f64::from(total) / usable.len() as f64;
     let (least, _) = BOUND_SHARES;
     let room = mean * (router.bounds.load_multiple * least - 1.0) + BOUND_SLACK;
@@ -178,11 +178,11 @@
 /// least loaded, with its place in the order. Requests are spread over the
 /// first `spread` of the order.
 fn by_subject<'a>(
-    now: Time,
     usable: &[Candidate<'a>],
     subject: Subject,
-    (bound, spread): (u32, usize),
+    bound: u32,
     hash: u64,
+    spread: usize,
 ) -> Option<(&'a TargetId, u32)> {
     let names = usable.iter().map(|(id, _)| (id.as_str(), 1));
     let mut order: Vec<(usize, &str)> = rank(subject, names).into_iter().enumerate().collect();
@@ -191,17 +191,17 @@
     let loads: BTreeMap<&str, Candidate<'a>> = usable.iter().map(|c| (c.0.as_str(), *c)).collect();
     let below = order.iter().find_map(|(place, id)| {
         let (id, state) = loads.get(id)?;
-        (state.load(now) < bound).then_some((*id, *place as u32))
+        (state.load() < bound).then_some((*id, *place as u32))
     });
     below.or_else(|| {
-        let least = usable.iter().min_by_key(|(_, s)| s.load(now))?;
+        let least = usable.iter().min_by_key(|(_, s)| s.load())?;
         Some((least.0, usable.len() as u32))
     })
 }
 
-fn least_loaded<'a>(now: Time, usable: &[Candidate<'a>], hash: u64) -> Option<&'a TargetId> {
+fn least_loaded<'a>(usable: &[Candidate<'a>], hash: u64) -> Option<&'a TargetId> {
     let cost = |(id, state): &Candidate<'_>| {
-        let load = f64::from(state.load(now)) / f64::from(state.entry.slots.max(1));
+        let load = f64::from(state.load()) / f64::from(state.entry.slots.max(1));
         let tie = crate::hash::hash_parts(&[id.as_bytes(), &hash.to_le_bytes()]);
         (load + state.failures(), tie)
     };
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -256,11 +256,6 @@
         choose::choose(self, now, need)
     }
 
-    /// Takes the number of requests that a target has by its own answer.
-    pub fn told(&mut self, now: Time, lease: &Lease, load: u32) {
-        self.roster.told(now, lease, load);
-    }
-
     /// Notes that an attempt at a target has ended.
     pub fn ended(&mut self, now: Time, lease: &Lease, ending: Ending) {
         if let Some(subject) = lease.subject
--- a/crates/decision/src/router/roster.rs
+++ b/crates/decision/src/router/roster.rs
@@ -7,9 +7,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Age up to which a target's own count of its requests is used: a pulse, by
-/// which the counts of others are told.
-const TOLD_AGE: Duration = Duration::from_millis(200);
 /// Weight of the newest outcome in a target's moving share of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Share of failures above which a target is set aside.
@@ -78,21 +75,14 @@
     /// Start of the last request that was sent while the target was cold.
     pub(crate) cold_sent: Option<Time>,
     pub(crate) since: Time,
-    /// Requests by its own answer, and when it came.
-    told: Option<(Time, u32)>,
     failures: f64,
     ejections: u32,
     lapsed: Option<Time>,
 }
 
 impl TargetState {
-    /// Requests at the target: as counted by all instances, or by its own
-    /// answer if that is more, because not all of them need come from here.
-    pub(crate) fn load(&self, now: Time) -> u32 {
-        let told = self
-            .told
-            .filter(|(at, _)| now.saturating_sub(*at) < TOLD_AGE);
-        (self.own + self.others).max(told.map_or(0, |(_, load)| load))
+    pub(crate) fn load(&self) -> u32 {
+        self.own + self.others
     }
 
     pub(crate) fn is_cold(&self, now: Time) -> bool {
@@ -170,7 +160,6 @@
                     others: 0,
                     cold_sent: None,
                     since: now,
-                    told: None,
                     failures: 0.0,
                     ejections: 0,
                     lapsed: None,
@@ -234,13 +223,6 @@
         })
     }
 
-    pub(crate) fn told(&mut self, now: Time, lease: &Lease, load: u32) {
-        let state = self.targets.get_mut(&lease.target);
-        if let Some(state) = state.filter(|s| s.generation == lease.generation) {
-            state.told = Some((now, load));
-        }
-    }
-
     pub(crate) fn ended(&mut self, now: Time, lease: &Lease, ending: Ending) {
         let state = self.targets.get_mut(&lease.target);
         let Some(state) = state.filter(|s| s.generation == lease.generation) else {
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -212,23 +212,6 @@
     );
 }
 
-#[test]
-fn work_that_only_the_target_knows_of_counts_for_as_long_as_a_pulse() {
-    let mut router = router(4);
-    let home = router.choose(Time::ZERO, &prompt(9)).expect("a target");
-    router.told(Time::ZERO, &home.lease, 40);
-    router.ended(Time::ZERO, &home.lease, Ending::Whole);
-    let now = Duration::from_millis(100);
-    let next = router.choose(now, &prompt(9)).expect("a target");
-    assert_ne!(next.lease.target, home.lease.target);
-    router.ended(now, &next.lease, Ending::Whole);
-    let later = router.choose(SECOND, &prompt(9)).expect("a target");
-    assert_eq!(
-        later.lease.target, home.lease.target,
-        "it may be done with it"
-    );
-}
-
 #[test]
 fn a_target_that_has_just_come_fetches_its_prompts() {
     let mut router = router(6);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -122,7 +122,6 @@
 
 /// Sends the request to a target and waits up to `limit` for the answer's head.
 pub(crate) async fn open(
-    gateway: &Shared,
     call: &Call,
     pick: &Pick,
     forward: &Forward<'_>,
@@ -138,14 +137,7 @@
     let answered = tokio::time::timeout(limit, sender.send(request)).await;
     let (answer, driver) = answered.map_err(|_| Miss::Lost("no answer in time".to_owned()))??;
     let status = answer.status().as_u16();
-    let head = requests::answer_head(status, answer.headers(), &call.attempt);
-    if head != AnswerHead::Foreign
-        && let Some(load) = requests::target_load(answer.headers())
-    {
-        let now = gateway.now();
-        gateway.router.borrow_mut().told(now, &pick.lease, load);
-    }
-    match head {
+    match requests::answer_head(status, answer.headers(), &call.attempt) {
         AnswerHead::Ran => Ok(Opened { answer, driver }),
         AnswerHead::NotRun => Err(Miss::Full),
         AnswerHead::Moved => Err(Miss::Moved),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -232,7 +232,7 @@
             fetch: pick.fetch,
             after,
         };
-        attempt::open(&self.gateway, &self.call, pick, &forward, limit).await
+        attempt::open(&self.call, pick, &forward, limit).await
     }
 
     /// Whether another target may run the request after so many may have.
