Soak real processes under random faults, and check the promises

Callers keep their connections open. What callers and targets saw is judged: TWICE, REFUSED, MIXED, CONFIG, LOST, UNASKED, GONE, RECOVER, EXIT. Tests: each check sees its promise broken, and nothing else.

--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod process;
 mod report;
 
+use crate::child::Folder;
 use crate::client::Caller;
 use crate::kit;
 use crate::standin::{Engine, EngineOptions, PlatformStandIn, Service};
@@ -74,15 +75,6 @@
     _folder: Folder,
 }
 
-/// A folder that is removed at the end.
-struct Folder(PathBuf);
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 impl Deployment {
     fn start(options: &FleetOptions) -> Result<Deployment, String> {
         let (instances, engines, domains) = match options.deployment.as_str() {
@@ -104,13 +96,17 @@
             engine.warm_up();
         }
         let services: Vec<Service> = (0..3).map(|_| Service::start()).collect();
-        let name = format!("briargap-fleet-{}", std::process::id());
-        let folder = Folder(std::env::temp_dir().join(name));
-        std::fs::create_dir_all(&folder.0).map_err(|e| e.to_string())?;
+        let folder = Folder::create("fleet").map_err(|e| e.to_string())?;
         let processes = (0..instances).map(|i| {
             let domain = domains[i % domains.len()];
             let name = format!("{domain}-{i}");
-            Process::new(&options.binary, &folder.0, &name, domain, &platform.base())
+            Process::new(
+                &options.binary,
+                folder.path(),
+                &name,
+                domain,
+                &platform.base(),
+            )
         });
         let mut deployment = Deployment {
             processes: processes.collect(),
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -1,11 +1,11 @@
 //! Instances as real processes on loopback.
 
+use crate::child::{Daemon, free_address};
 use crate::kit;
 use decision::Listing;
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
+use std::path::Path;
 
 /// Clock ticks of the kernel a second, as processor time is counted.
 const TICKS_A_SECOND: f64 = 100.0;
@@ -16,9 +16,7 @@
 pub(super) struct Process {
     pub(super) listing: Listing,
     pub(super) operator: SocketAddr,
-    settings: PathBuf,
-    binary: PathBuf,
-    child: Option<Child>,
+    daemon: Daemon,
 }
 
 /// What a process has used.
@@ -30,11 +28,6 @@
     pub(super) memory: f64,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 impl Process {
     /// Prepares an instance's settings on free ports.
     pub(super) fn new(
@@ -67,49 +60,28 @@
                 power: 0,
             },
             operator,
-            settings: path,
-            binary: binary.to_owned(),
-            child: None,
+            daemon: Daemon::new(binary, path),
         }
     }
 
     /// Starts the process.
     pub(super) fn start(&mut self) {
-        let log = self.settings.with_extension("log");
-        let log = std::fs::File::options().create(true).append(true).open(log);
-        let child = Command::new(&self.binary)
-            .arg("serve")
-            .arg("--settings")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log.map_or_else(|_| Stdio::null(), Stdio::from))
-            .spawn();
-        self.child = Some(child.expect("the built binary"));
+        self.daemon.start();
     }
 
     /// Whether the process runs.
     pub(super) fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+        self.daemon.is_running()
     }
 
     /// Kills the process without a word.
     pub(super) fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.daemon.kill();
     }
 
     /// Sends a signal by name, as in `STOP`, to this process alone.
     pub(super) fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(child.id().to_string())
-                .status();
-        }
+        self.daemon.signal(name);
     }
 
     /// Operators' client.
@@ -124,10 +96,10 @@
 
     /// Processor time and memory so far.
     pub(super) fn usage(&self) -> Usage {
-        let Some(child) = &self.child else {
+        let Some(id) = self.daemon.id() else {
             return Usage::default();
         };
-        let read = |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", child.id()));
+        let read = |file: &str| std::fs::read_to_string(format!("/proc/{id}/{file}"));
         let stat = read("stat").unwrap_or_default();
         let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
         let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok());
@@ -140,9 +112,3 @@
         }
     }
 }
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use bench::fleet::{self, FleetOptions, fleet_options};
 use bench::policy::{self, PolicyOptions, policy_options};
 use bench::slopes::{self, SlopesOptions, slopes_options};
+use bench::soak::{self, SoakOptions, soak_options};
 use bench::standins::{self, StandinsOptions, standins_options};
 use bpaf::{OptionParser, Parser, construct};
 use std::process::ExitCode;
@@ -12,6 +13,7 @@
     Fleet(FleetOptions),
     Policy(PolicyOptions),
     Slopes(SlopesOptions),
+    Soak(SoakOptions),
     Standins(StandinsOptions),
 }
 
@@ -32,7 +34,11 @@
         .to_options()
         .descr("Run the stand-ins alone, for trying an instance by hand")
         .command("standins");
-    construct!([fleet, policy, slopes, standins])
+    let soak = construct!(Command::Soak(soak_options()))
+        .to_options()
+        .descr("Run the built binary under random faults, and check its promises")
+        .command("soak");
+    construct!([fleet, policy, slopes, soak, standins])
         .to_options()
         .descr("Load and measurement of briargap; JSON lines on standard output")
 }
@@ -42,6 +48,7 @@
         Command::Fleet(options) => fleet::run(&options),
         Command::Policy(options) => policy::run(&options),
         Command::Slopes(options) => slopes::run(&options),
+        Command::Soak(options) => soak::run(&options),
         Command::Standins(options) => standins::run(&options),
     }
 }
