Give whole tables once, within a rate, and read a copy that falls behind

Change: the same table goes to the same instance once in 2 s, and 600 KB a second after the first MB in all; who gets none reads the store once it has settled. An instance reads for itself too when its own copy falls behind what its hubs have. The fallback for a hub among starting instances holds in the own domain alone, so that other hubs try one instance after the other. Tests: tables asked for by 100 instances at once, again, and after a lost connection; a copy that falls behind.

--- a/crates/decision/src/feed.rs
+++ b/crates/decision/src/feed.rs
@@ -114,6 +114,12 @@
         Applied::Changed(changed)
     }
 
+    /// Bytes of all keys and values.
+    pub fn size(&self) -> usize {
+        let rows = self.rows.iter();
+        rows.map(|(key, (_, value))| key.len() + value.len()).sum()
+    }
+
     /// All rows, for an instance that knows none.
     pub fn snapshot(&self) -> Option<FeedNews> {
         let rows = self.rows.iter().map(|(key, (version, value))| FeedRow {
--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -11,10 +11,12 @@
 mod counts;
 mod pulse;
 mod reader;
+mod supply;
 
 pub use counts::{Counts, Tag};
 pub use pulse::{FeedAge, Heard, Outgoing, Proof, Pulse, Scope, Work, target_tag};
 pub use reader::Pace;
+pub use supply::Supply;
 
 use crate::hash::{hash_parts, rank, winner};
 use crate::id::{DomainId, Incarnation, InstanceId, Time};
@@ -349,13 +351,13 @@
     }
 
     /// Hub of a failure domain: of the live instances on the strongest machines
-    /// the first by rendezvous hashing. Where no other is known to serve, those
-    /// that start count too: instances that start together know each other's
-    /// state late, and would all act as hubs.
+    /// the first by rendezvous hashing. Where no other of this instance's domain
+    /// is known to serve, those that start count too: instances that start
+    /// together know each other's state late, and would all act as hubs.
     pub fn hub(&self, now: Time, domain: &str) -> Option<&Listing> {
         let here = self.live(now).into_iter().filter(|l| l.domain == domain);
         let mut here: Vec<&Listing> = here.collect();
-        if here.iter().all(|l| l.id == self.me.id) {
+        if domain == self.me.domain && here.iter().all(|l| l.id == self.me.id) {
             let me = Some(&self.me).filter(|me| !me.leaving);
             let others = self.peers.values().filter(|p| self.is_heard(p, now));
             let starting = me.into_iter().chain(others.map(|p| &p.listing));
--- a/crates/decision/src/fleet/reader.rs
+++ b/crates/decision/src/fleet/reader.rs
@@ -10,6 +10,10 @@
 /// others: seeds are asked several times in it, and a pulse comes.
 const SETTLING: Duration = Duration::from_millis(400);
 
+/// Age beyond the hubs' that an own copy may reach before it is read: news and
+/// the pulse that proves it come within a few pulses.
+const COPY_SLACK: Duration = Duration::from_secs(1);
+
 /// How a table is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -34,25 +38,27 @@
     }
 
     /// Why this instance reads a table now, if it does: some hubs follow it,
-    /// others read only while no hub has new copies. `known` tells whether it
-    /// has a copy.
+    /// others read only while no hub has new copies, or while their own copy
+    /// falls behind. `copy` is the moment at which its own was the newest.
     pub fn reason_to_read(
         &self,
         now: Time,
         table: usize,
         pace: &Pace,
-        known: bool,
+        copy: Option<Time>,
     ) -> Option<&'static str> {
         let is_settling = self.is_settling(now);
         // The clock starts with the process.
         let silence = self.silence(now).unwrap_or(now);
         let age = self.feed_age(now, table).unwrap_or(now);
+        let behind = copy.map(|at| now.saturating_sub(at));
         match () {
-            () if !known && (pace.at_start || !is_settling) => Some("nothing known"),
+            () if copy.is_none() && (pace.at_start || !is_settling) => Some("nothing known"),
             () if is_settling => None,
             () if self.is_first_hub(now, pace.table, pace.readers) => Some("hub"),
             () if silence > SILENT => Some("hubs silent"),
             () if age > pace.old => Some("hubs behind"),
+            () if behind.is_none_or(|b| b > pace.old + COPY_SLACK) => Some("copy behind"),
             () => None,
         }
     }
--- /dev/null
+++ b/crates/decision/src/fleet/supply.rs
@@ -0,0 +1,52 @@
+//! Limits on whole tables that an instance gives to others.
+
+use crate::id::{InstanceId, Time};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Bytes that may be given at once: the tables of 90 instances that start
+/// together, of 150 targets each, over three seeds.
+const BURST: f64 = 1_000_000.0;
+/// Bytes a second that may be given in the long run: half of what the slowest
+/// machines' links of 10 Mbit/s carry.
+const RATE: f64 = 600_000.0;
+/// Time after which the same table is given to the same instance again: it may
+/// ask several times before the first one arrives.
+const AGAIN: Duration = Duration::from_secs(2);
+
+/// What was given to whom.
+///
+/// Tables of thousands of rows, asked for by hundreds of instances that start
+/// together, would fill every connection, and pulses with them. Who is not
+/// given one reads the store.
+#[derive(Clone, Debug, Default)]
+pub struct Supply {
+    used: f64,
+    at: Time,
+    given: BTreeMap<(InstanceId, usize), Time>,
+}
+
+impl Supply {
+    /// Whether a table of so many bytes may be given to an instance now; it
+    /// counts as given then.
+    pub fn take(&mut self, now: Time, to: &InstanceId, table: usize, bytes: usize) -> bool {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.used = (self.used - passed * RATE).max(0.0);
+        self.at = now;
+        self.given.retain(|_, at| now.saturating_sub(*at) < AGAIN);
+        let key = (to.clone(), table);
+        // One that is larger than the burst goes out while nothing else does.
+        let fits = self.used <= 0.0 || self.used + bytes as f64 <= BURST;
+        if !fits || self.given.contains_key(&key) {
+            return false;
+        }
+        self.used += bytes as f64;
+        self.given.insert(key, now);
+        true
+    }
+
+    /// Notes that a connection was lost, with what was on its way.
+    pub fn lost(&mut self, to: &str) {
+        self.given.retain(|(id, _), _| id != to);
+    }
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -55,7 +55,8 @@
 pub use error::{Error, Ran, Result, Step};
 pub use feed::{Applied, Feed, FeedNews, FeedRow};
 pub use fleet::{
-    Counts, FeedAge, Fleet, Heard, Outgoing, Pace, Proof, Pulse, Scope, Tag, Work, target_tag,
+    Counts, FeedAge, Fleet, Heard, Outgoing, Pace, Proof, Pulse, Scope, Supply, Tag, Work,
+    target_tag,
 };
 pub use hash::{chat_id, digest, hash_parts, rank};
 pub use id::{
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use decision::{
     Applied, Counts, Feed, FeedAge, FeedNews, FeedRow, Fleet, InstanceId, Listing, Outgoing, Pace,
-    Time, Work, target_tag,
+    Supply, Time, Work, target_tag,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -145,7 +145,8 @@
         ..TOLD
     };
     let reason = |fleet: &Fleet, pace: &Pace, ms: u64, known: bool| {
-        fleet.reason_to_read(Duration::from_millis(ms), 0, pace, known)
+        let now = Duration::from_millis(ms);
+        fleet.reason_to_read(now, 0, pace, known.then_some(now))
     };
     let alone = Fleet::new(listing(0, 3), 1);
     assert_eq!(reason(&alone, &TOLD, 0, false), Some("nothing known"));
@@ -203,6 +204,62 @@
     assert!(links <= INSTANCES * 4 + 20, "{links} connections");
 }
 
+#[test]
+fn a_copy_that_falls_behind_its_hubs_is_read() {
+    const PACE: Pace = Pace {
+        table: "servers",
+        readers: 2,
+        wait: Duration::from_millis(1_500),
+        old: Duration::from_millis(2_500),
+        at_start: false,
+    };
+    let mut net = Net::new(40, 4);
+    net.run(Duration::from_secs(8));
+    let hubs = net.hubs();
+    let member = net.fleets.values().find(|f| !hubs.contains(&f.me().id));
+    let member = member.expect("an instance that is no hub");
+    let reason = |age: Duration| {
+        let copy = net.now.checked_sub(age);
+        member.reason_to_read(net.now, 0, &PACE, copy)
+    };
+    assert_eq!(reason(Duration::from_secs(3)), None);
+    assert_eq!(reason(Duration::from_secs(4)), Some("copy behind"));
+}
+
+#[test]
+fn whole_tables_are_given_once_and_within_a_rate() {
+    const TABLE: usize = 300_000;
+    let mut supply = Supply::default();
+    let id = |n: usize| listing(n, 3).id;
+    let give = |supply: &mut Supply, now: Duration, from: usize| {
+        let given = (from..from + 100).filter(|n| supply.take(now, &id(*n), 1, TABLE));
+        given.count()
+    };
+    assert_eq!(give(&mut supply, Time::ZERO, 0), 3);
+    assert!(
+        !supply.take(Duration::from_secs(1), &id(0), 1, TABLE),
+        "it is on its way"
+    );
+    let later = Duration::from_secs(10);
+    assert_eq!(
+        give(&mut supply, later, 0),
+        3,
+        "those that were left out come next"
+    );
+    supply.lost(&id(0));
+    let after = later + Duration::from_secs(1);
+    assert!(
+        supply.take(after, &id(0), 1, TABLE),
+        "it was lost on its way"
+    );
+    let mut fresh = Supply::default();
+    assert!(
+        fresh.take(Time::ZERO, &id(0), 1, 5_000_000),
+        "a large one alone"
+    );
+    assert!(!fresh.take(Time::ZERO, &id(1), 1, 100));
+}
+
 #[test]
 fn pulses_grow_with_instances_and_not_with_their_square() {
     let count = |instances| {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -108,7 +108,10 @@
     fn receive(&self, gateway: &Shared, event: PeerEvent) {
         let now = gateway.now();
         match event {
-            PeerEvent::Lost(id) => gateway.fleet.borrow_mut().lost(now, &id),
+            PeerEvent::Lost(id) => {
+                gateway.fleet.borrow_mut().lost(now, &id);
+                gateway.supply.borrow_mut().lost(&id);
+            }
             PeerEvent::Message { from, message } => match message {
                 Message::Pulse(pulse) => self.pulsed(gateway, &from, *pulse),
                 Message::News(table, news) => self.told(gateway, &from, table.into(), *news),
@@ -152,13 +155,19 @@
     }
 
     fn asked(&self, gateway: &Shared, from: &InstanceId, table: u8) {
-        let snapshot = gateway
-            .feeds
-            .borrow()
-            .get(usize::from(table))
-            .and_then(decision::Feed::snapshot);
-        if let Some(news) = snapshot {
+        let now = gateway.now();
+        let feeds = gateway.feeds.borrow();
+        let Some(feed) = feeds.get(usize::from(table)) else {
+            return;
+        };
+        let Some(news) = feed.snapshot() else { return };
+        let mut supply = gateway.supply.borrow_mut();
+        if supply.take(now, from, usize::from(table), feed.size()) {
             self.send(gateway, from, &Message::News(table, Box::new(news)));
+        } else {
+            gateway
+                .metrics
+                .count("tables_not_given", TABLES[usize::from(table)]);
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,8 @@
 use crate::record::Record;
 use crate::settings::Settings;
 use decision::{
-    Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, Listing, Router, RouterBounds, TargetId, Time,
+    Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, Listing, Router, RouterBounds, Supply,
+    TargetId, Time,
 };
 use platform::StoreClient;
 use platform::documents::{self, OperatorRow};
@@ -53,6 +54,7 @@
     pub(crate) router: RefCell<Router>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) feeds: RefCell<[Feed; 2]>,
+    pub(crate) supply: RefCell<Supply>,
     pub(crate) store: StoreClient,
     pub(crate) metrics: Metrics,
     pub(crate) record: Record,
@@ -88,6 +90,7 @@
             router: RefCell::new(Router::new(bounds)),
             fleet: RefCell::new(Fleet::new(listing, incarnation).with_seeds(settings.has_seeds())),
             feeds: RefCell::default(),
+            supply: RefCell::default(),
             store: StoreClient::new(settings.store.address, STORE_TIMEOUT),
             metrics: Metrics::default(),
             record: Record::new(),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -98,9 +98,13 @@
 
     fn reason(&self) -> Option<&'static str> {
         let now = self.gateway.now();
-        let known = self.gateway.feeds.borrow()[self.table].version().is_some();
+        let copy = {
+            let feed = &self.gateway.feeds.borrow()[self.table];
+            // A copy that was told by a seed is proved with the first pulse.
+            feed.verified().or(feed.version().map(|_| Time::ZERO))
+        };
         let fleet = self.gateway.fleet.borrow();
-        fleet.reason_to_read(now, self.table, &PACES[self.table], known)
+        fleet.reason_to_read(now, self.table, &PACES[self.table], copy)
     }
 
     fn note(&mut self, reason: Option<&'static str>) {
