--- a/crates/decision/src/feed.rs
+++ b/crates/decision/src/feed.rs
@@ -6,6 +6,9 @@
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 
+/// Bytes of a row beside its key and value: names of fields, lengths, version.
+const ROW_BYTES: usize = 24;
+
 /// A row of a table, or the mark of one that was removed.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -114,10 +117,10 @@
         Applied::Changed(changed)
     }
 
-    /// Bytes of all keys and values.
+    /// Bytes of all rows as a message holds them.
     pub fn size(&self) -> usize {
-        let rows = self.rows.iter();
-        rows.map(|(key, (_, value))| key.len() + value.len()).sum()
+        let row = |(key, (_, value)): (&SmolStr, &(u64, Vec<u8>))| key.len() + value.len();
+        self.rows.iter().map(|r| row(r) + ROW_BYTES).sum()
     }
 
     /// All rows, for an instance that knows none.
--- a/crates/decision/src/fleet/supply.rs
+++ b/crates/decision/src/fleet/supply.rs
@@ -4,9 +4,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Bytes that may be given at once: the tables of 90 instances that start
-/// together, of 150 targets each, over three seeds.
-const BURST: f64 = 1_000_000.0;
+/// Bytes that may be given at once, by the bound of 1 MiB on a message: a table
+/// of 150 targets to each of 30 instances that start together. A larger table
+/// is not given.
+const BURST: f64 = 900_000.0;
 /// Bytes a second that may be given in the long run: half of what the slowest
 /// machines' links of 10 Mbit/s carry.
 const RATE: f64 = 600_000.0;
@@ -35,8 +36,7 @@
         self.at = now;
         self.given.retain(|_, at| now.saturating_sub(*at) < AGAIN);
         let key = (to.clone(), table);
-        // One that is larger than the burst goes out while nothing else does.
-        let fits = self.used <= 0.0 || self.used + bytes as f64 <= BURST;
+        let fits = self.used + bytes as f64 <= BURST;
         if !fits || self.given.contains_key(&key) {
             return false;
         }
