Send no further attempt by a key that is gone

Retries and streams that go on did not look at the key or the age of the configuration again. Change: every attempt is admitted anew, once before its target is chosen and once when its connection is open.

--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -247,6 +247,30 @@
         })
     }
 
+    /// Decides whether a request that was admitted may still be sent to a
+    /// target: time may have passed, and its key may have been taken away.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is refused.
+    pub fn readmit(
+        &self,
+        now: Time,
+        admission: &Admission,
+        key: Option<&str>,
+    ) -> Result<(), Refusal> {
+        let Some(workspace) = &admission.workspace else {
+            return Ok(());
+        };
+        let keys = self.catalog.as_ref().and_then(|c| c.keys.as_ref());
+        let owner = keys.zip(key).and_then(|(keys, key)| keys.get(key));
+        match owner {
+            _ if !self.freshness.holds(now) => Err(Refusal::Stale),
+            Some(owner) if owner.workspace == *workspace => Ok(()),
+            _ => Err(Refusal::BadKey),
+        }
+    }
+
     /// Chooses a target and counts the request there until [`Router::ended`].
     ///
     /// # Errors
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -133,6 +133,25 @@
     assert_eq!(counts.len(), 2);
 }
 
+#[test]
+fn a_further_attempt_needs_the_key_still() {
+    let mut router = router(2);
+    let keyed = admit(&router, Time::ZERO, "/a/x", Some("key")).expect("admitted");
+    let open = admit(&router, Time::ZERO, "/a/open/x", None).expect("admitted");
+    let again = |router: &Router, now: Time| router.readmit(now, &keyed, Some("key"));
+    assert_eq!(again(&router, SECOND), Ok(()));
+    assert_eq!(
+        again(&router, KEY_AGE),
+        Err(Refusal::Stale),
+        "it stood still"
+    );
+    assert_eq!(router.readmit(KEY_AGE, &open, None), Ok(()));
+    router.configure(catalog(2, &[("another", "acme")]));
+    assert_eq!(again(&router, SECOND), Err(Refusal::BadKey));
+    router.configure(catalog(3, &[("key", "another workspace")]));
+    assert_eq!(again(&router, SECOND), Err(Refusal::BadKey));
+}
+
 #[test]
 fn an_instance_that_knows_nothing_promises_nothing_false() {
     let router = Router::new(bounds());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at one target.
 
 use crate::Shared;
-use decision::{Ending, Lease, Pick};
+use decision::{Ending, Lease, Pick, Refusal};
 use exchange::{Driver, Failure};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -120,14 +120,18 @@
     }
 }
 
-/// Sends the request to a target and waits up to `limit` for the answer's head.
+/// Sends the request to a target, if `readmit` still allows it, and waits up to
+/// `limit` for the answer's head.
 pub(crate) async fn open(
     call: &Call,
     pick: &Pick,
     forward: &Forward<'_>,
     limit: Duration,
+    readmit: impl Fn() -> Result<(), Refusal>,
 ) -> Result<Opened, Miss> {
     let sender = exchange::connect(pick.address, CONNECT_TIMEOUT.min(limit)).await?;
+    // The process may have stood still since the request was admitted.
+    readmit().map_err(|refusal| Miss::Unsent(refusal.word().to_owned()))?;
     let mut request = Request::builder()
         .method(call.method.clone())
         .uri(call.uri.clone())
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -194,6 +194,7 @@
             tried: &self.tried,
         };
         let now = self.gateway.now();
+        self.readmit()?;
         let pick = self.gateway.router.borrow_mut().choose(now, &need)?;
         self.notes.push(Note {
             target: pick.lease.target.clone(),
@@ -207,6 +208,13 @@
         Ok((pick, held))
     }
 
+    /// Whether the request may still be sent to a target.
+    fn readmit(&self) -> Result<(), Refusal> {
+        let now = self.gateway.now();
+        let router = self.gateway.router.borrow();
+        router.readmit(now, &self.admission, self.head.key.as_deref())
+    }
+
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_sub(self.gateway.now())
     }
@@ -232,7 +240,8 @@
             fetch: pick.fetch,
             after,
         };
-        attempt::open(&self.call, pick, &forward, limit).await
+        let readmit = || self.readmit();
+        attempt::open(&self.call, pick, &forward, limit, readmit).await
     }
 
     /// Whether another target may run the request after so many may have.
