Tell newcomers of their domain and of hubs alone

Cause: with 300 instances that start at once, each asked a seed every 60 ms with all that it had heard of, and each answer named all instances: up to 33 KB a pulse, 10 MB a second at the busiest. Change: who asks names itself; the answer names the newcomer's domain and the hubs of the others. Its hub greets it with the whole list. Test: sizes of both pulses with 90 instances in nine domains.

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -171,14 +171,27 @@
         self.peers.contains_key(id)
     }
 
-    /// Pulse to an instance that is not in the list yet: to a seed, or to one
-    /// that this instance was a seed for.
+    /// Pulse to a seed, which names this instance alone: many may ask at once.
     pub fn introduction(&self, now: Time) -> Pulse {
+        self.first_pulse(now, |_| false)
+    }
+
+    /// First pulse to an instance that has introduced itself: its domain, in
+    /// which it finds its hub, and the hubs of the others.
+    pub fn welcome(&self, now: Time, to: &str) -> Pulse {
+        let domain = self.peers.get(to).map(|p| p.listing.domain.clone());
+        let hubs: BTreeSet<InstanceId> = self.hubs(now).into_iter().map(|h| h.id.clone()).collect();
+        self.first_pulse(now, |p| {
+            Some(&p.listing.domain) == domain.as_ref() || hubs.contains(&p.listing.id)
+        })
+    }
+
+    fn first_pulse(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Pulse {
         Pulse {
             at_ms: now.as_millis() as u64,
             echo_ms: None,
             scope: Scope::Own,
-            heard: self.heard(now, |_| true),
+            heard: self.heard(now, wanted),
             ages: Counts::default(),
             work: None,
             feeds: Vec::new(),
@@ -375,15 +388,21 @@
         hub.is_none_or(|hub| hub.id == self.me.id)
     }
 
+    /// Hubs of all domains in which an instance is live.
+    fn hubs(&self, now: Time) -> Vec<&Listing> {
+        let live = self.live(now);
+        let domains: BTreeSet<&DomainId> = live.iter().map(|l| &l.domain).collect();
+        let hubs = domains.into_iter().filter_map(|d| self.hub(now, d));
+        hubs.collect()
+    }
+
     /// Whether this instance is one of the first `most` hubs, in an order by
     /// rendezvous hashing of `key`, which spreads the work over the hubs.
     pub fn is_first_hub(&self, now: Time, key: &str, most: usize) -> bool {
         if !self.is_hub(now) {
             return false;
         }
-        let live = self.live(now);
-        let domains: BTreeSet<&DomainId> = live.iter().map(|l| &l.domain).collect();
-        let hubs = domains.into_iter().filter_map(|d| self.hub(now, d));
+        let hubs = self.hubs(now).into_iter();
         let hubs = hubs.map(|hub| (hub.id.as_str(), 1));
         let order = rank(hash_parts(&[key.as_bytes()]), hubs);
         let before = order.iter().position(|id| **id == *self.me.id);
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -260,6 +260,22 @@
     assert!(fresh.take(Time::ZERO, &id(0), 1, 100));
 }
 
+#[test]
+fn a_newcomer_is_told_of_its_domain_and_of_hubs_alone() {
+    let mut net = Net::new(90, 9);
+    net.run(Duration::from_secs(5));
+    let seed = &net.fleets[&listing(0, 9).id];
+    let asked = net.fleets[&listing(13, 9).id].introduction(net.now);
+    assert_eq!(asked.heard.len(), 1);
+    let told = seed.welcome(net.now, &listing(13, 9).id);
+    let domains: Vec<_> = told.heard.iter().map(|h| &h.listing.domain).collect();
+    let own = domains.iter().filter(|d| ***d == listing(13, 9).domain);
+    assert_eq!(own.count(), 10);
+    assert!(domains.len() <= 10 + 9, "{domains:?}");
+    let all: BTreeSet<_> = domains.into_iter().collect();
+    assert_eq!(all.len(), 9);
+}
+
 #[test]
 fn pulses_grow_with_instances_and_not_with_their_square() {
     let count = |instances| {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -132,8 +132,8 @@
             }
         }
         if is_new {
-            let introduction = gateway.fleet.borrow().introduction(now);
-            self.send(gateway, from, &Message::Pulse(Box::new(introduction)));
+            let welcome = gateway.fleet.borrow().welcome(now, from);
+            self.send(gateway, from, &Message::Pulse(Box::new(welcome)));
         }
         for (table, feed) in feeds.into_iter().enumerate().take(TABLES.len()) {
             let known = gateway.feeds.borrow()[table].version();
