--- /dev/null
+++ b/crates/decision/src/fleet/hub.rs
@@ -0,0 +1,173 @@
+//! Which instances are live, and which are hubs.
+
+use super::{FORGET, Fleet, Peer, Scope};
+use crate::hash::{hash_parts, rank, winner};
+use crate::id::{DomainId, InstanceId, Time};
+use crate::members::Listing;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Silence after which an instance no longer counts as live: it is told of
+/// over at most two hops, each within [`LISTS`] pulses.
+const LIVE: Duration = Duration::from_millis(2_500);
+/// Time for which an instance that is taken for the hub may leave pulses
+/// without an answer: five of them.
+const HUB_TRIAL: Duration = Duration::from_secs(1);
+/// Silence of the hubs after which an instance is no longer told who is heard.
+const PULSE_LATE: Duration = Duration::from_millis(600);
+/// Longest time for which the last news of who is heard stands: with [`LIVE`],
+/// under the 6 s that operators allow for naming an instance that is gone.
+const NEWS_KEPT: Duration = Duration::from_millis(2_500);
+
+impl Fleet {
+    pub(super) fn is_live(&self, peer: &Peer, now: Time) -> bool {
+        !peer.listing.starting && self.is_heard(peer, now)
+    }
+
+    pub(super) fn is_heard(&self, peer: &Peer, now: Time) -> bool {
+        let answers = peer.failed.is_none_or(|failed| peer.heard > failed);
+        let age = self.news_at(now).saturating_sub(peer.heard);
+        !peer.listing.leaving && answers && age < LIVE
+    }
+
+    /// Moment up to which this instance is told who is heard. Without a hub it
+    /// is told nothing, and for a while that is no sign of the others' silence.
+    fn news_at(&self, now: Time) -> Time {
+        match self.silence(now) {
+            Some(silence) if silence >= PULSE_LATE => now.saturating_sub(silence.min(NEWS_KEPT)),
+            _ => now,
+        }
+    }
+
+    /// Live instances that take callers, this one included where it does.
+    pub fn live(&self, now: Time) -> Vec<&Listing> {
+        let me = Some(&self.me).filter(|me| !me.leaving && !me.starting);
+        let others = self.peers.values().filter(|p| self.is_live(p, now));
+        me.into_iter().chain(others.map(|p| &p.listing)).collect()
+    }
+
+    /// Instances that share the limits, and this one's place among them.
+    pub fn share(&self, now: Time) -> (usize, usize) {
+        let known = |p: &&Peer| now.saturating_sub(p.heard) < FORGET;
+        let ids = self.peers.values().filter(known).map(|p| &p.listing.id);
+        let ids: Vec<&InstanceId> = ids.collect();
+        let before = ids.iter().filter(|id| ***id < self.me.id).count();
+        (ids.len() + 1, before)
+    }
+
+    /// Hub of a failure domain: of the live instances on the strongest machines
+    /// the first by rendezvous hashing. Where no other of this instance's domain
+    /// is known to serve, those that start count too: instances that start
+    /// together know each other's state late, and would all act as hubs.
+    pub fn hub(&self, now: Time, domain: &str) -> Option<&Listing> {
+        let here = self.live(now).into_iter().filter(|l| l.domain == domain);
+        let mut here: Vec<&Listing> = here.collect();
+        if domain == self.me.domain && here.iter().all(|l| l.id == self.me.id) {
+            let me = Some(&self.me).filter(|me| !me.leaving);
+            let others = self.peers.values().filter(|p| self.is_heard(p, now));
+            let starting = me.into_iter().chain(others.map(|p| &p.listing));
+            here = starting.filter(|l| l.domain == domain).collect();
+        }
+        let power = here.iter().map(|l| l.power).max()?;
+        let strongest = here.iter().filter(|l| l.power == power);
+        let id = winner(domain, strongest.map(|l| l.id.as_str()))?;
+        here.iter().find(|l| l.id == id).copied()
+    }
+
+    /// Whether this instance is the hub of its failure domain.
+    pub fn is_hub(&self, now: Time) -> bool {
+        let hub = self.hub(now, &self.me.domain);
+        hub.is_none_or(|hub| hub.id == self.me.id)
+    }
+
+    /// Hubs of all domains in which an instance is live.
+    pub(super) fn hubs(&self, now: Time) -> Vec<&Listing> {
+        let live = self.live(now);
+        let domains: BTreeSet<&DomainId> = live.iter().map(|l| &l.domain).collect();
+        let hubs = domains.into_iter().filter_map(|d| self.hub(now, d));
+        hubs.collect()
+    }
+
+    /// Whether this instance is one of the first `most` hubs, in an order by
+    /// rendezvous hashing of `key`, which spreads the work over the hubs.
+    pub fn is_first_hub(&self, now: Time, key: &str, most: usize) -> bool {
+        if !self.is_hub(now) {
+            return false;
+        }
+        let hubs = self.hubs(now).into_iter();
+        let hubs = hubs.map(|hub| (hub.id.as_str(), 1));
+        let order = rank(hash_parts(&[key.as_bytes()]), hubs);
+        let before = order.iter().position(|id| **id == *self.me.id);
+        // A hub that starts is not live; it reads for itself.
+        before.is_none_or(|before| before < most)
+    }
+
+    /// Time since any hub's pulse came, if one ever did.
+    pub fn silence(&self, now: Time) -> Option<Duration> {
+        let told = self.hub_pulses().map(|(at, _)| at).max();
+        told.map(|at| now.saturating_sub(at))
+    }
+
+    /// Estimated age of the newest copy of a table that any hub told of. It
+    /// decides when to read; it proves nothing.
+    pub fn feed_age(&self, now: Time, table: usize) -> Option<Duration> {
+        let newest = self.hub_pulses().filter_map(|(_, peer)| {
+            let at = peer.feeds.get(table)?;
+            *at
+        });
+        newest.max().map(|at| now.saturating_sub(at))
+    }
+
+    pub(super) fn hub_pulses(&self) -> impl Iterator<Item = (Time, &Peer)> {
+        let told = self.peers.values().filter_map(|p| Some((p.told?, p)));
+        told.filter(|((_, scope), _)| *scope != Scope::Own)
+            .map(|((at, _), peer)| (at, peer))
+    }
+
+    /// Gives up an instance that is taken for the hub and does not answer.
+    pub(super) fn try_hub(&mut self, now: Time) {
+        let hub = self.hub(now, &self.me.domain).map(|hub| hub.id.clone());
+        let Some(hub) = hub.filter(|hub| *hub != self.me.id) else {
+            self.trial = None;
+            return;
+        };
+        let since = match &self.trial {
+            Some((id, since)) if *id == hub => *since,
+            _ => now,
+        };
+        self.trial = Some((hub.clone(), since));
+        let told = self.peers.get(&hub).and_then(|p| p.told).map(|(at, _)| at);
+        let answered = told.map_or(since, |at| at.max(since));
+        if now.saturating_sub(answered) >= HUB_TRIAL {
+            self.lost(now, &hub);
+            self.trial = None;
+        }
+    }
+
+    /// Hubs of the other failure domains. Of a domain in which nobody is heard
+    /// one instance after the other is tried.
+    pub fn other_hubs(&self, now: Time) -> Vec<Listing> {
+        let mut domains: BTreeMap<&DomainId, Vec<&Listing>> = BTreeMap::new();
+        let known = self.peers.values().map(|p| &p.listing);
+        for listing in known.filter(|l| l.domain != self.me.domain && !l.leaving) {
+            domains.entry(&listing.domain).or_default().push(listing);
+        }
+        let hub = |(domain, known): (&DomainId, Vec<&Listing>)| {
+            let turn = (self.ticks as usize) % known.len();
+            self.hub(now, domain).unwrap_or(known[turn]).clone()
+        };
+        domains.into_iter().map(hub).collect()
+    }
+
+    /// Instances to which news of the store's tables goes on from here.
+    pub fn audience(&self, now: Time) -> Vec<Listing> {
+        if !self.is_hub(now) {
+            return Vec::new();
+        }
+        let here = self
+            .peers
+            .values()
+            .filter(|p| p.listing.domain == self.me.domain && self.is_heard(p, now));
+        here.map(|p| p.listing.clone()).collect()
+    }
+}
