Tell who missed news what has changed since, in place of whole tables

Cause: an instance that missed news of a table asked for all of it. Change: it names the version that it knows; a copy remembers its last 1,000 removed rows and tells rows and removals since then, or all rows where it doesn't reach back so far. All news that is asked for shares the rate.

--- a/crates/decision/src/feed.rs
+++ b/crates/decision/src/feed.rs
@@ -4,11 +4,14 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Bytes of a row beside its key and value: names of fields, lengths, version.
 const ROW_BYTES: usize = 24;
 
+/// Removed rows that are remembered, to tell those who know an older version.
+const GONE_KEPT: usize = 1_000;
+
 /// A row of a table, or the mark of one that was removed.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +42,15 @@
     pub rows: Vec<FeedRow>,
 }
 
+impl FeedNews {
+    /// Bytes of all rows as a message holds them.
+    pub fn size(&self) -> usize {
+        let value = |row: &FeedRow| row.value.as_ref().map_or(0, Vec::len);
+        let rows = self.rows.iter();
+        rows.map(|r| r.key.len() + value(r) + ROW_BYTES).sum()
+    }
+}
+
 /// What became of news.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Applied {
@@ -60,6 +72,10 @@
     version: Option<u64>,
     changed: u64,
     verified: Option<Time>,
+    /// Removed rows with their versions, the oldest first.
+    gone: VecDeque<(u64, SmolStr)>,
+    /// Version since which all removed rows are remembered.
+    floor: u64,
 }
 
 impl Feed {
@@ -105,6 +121,9 @@
         let mut changed = Vec::new();
         if news.since.is_none() {
             changed.extend(self.missing_from(&news.rows));
+            // A list doesn't tell when what it lacks was removed.
+            self.gone.clear();
+            self.floor = news.version;
         }
         changed.extend(news.rows);
         changed.retain(|row| self.set(row));
@@ -117,28 +136,34 @@
         Applied::Changed(changed)
     }
 
-    /// Bytes of all rows as a message holds them.
-    pub fn size(&self) -> usize {
-        let row = |(key, (_, value)): (&SmolStr, &(u64, Vec<u8>))| key.len() + value.len();
-        self.rows.iter().map(|r| row(r) + ROW_BYTES).sum()
-    }
-
-    /// All rows, for an instance that knows none.
-    pub fn snapshot(&self) -> Option<FeedNews> {
-        let rows = self.rows.iter().map(|(key, (version, value))| FeedRow {
+    /// What has changed since a version, or all rows where that is not known.
+    pub fn since(&self, known: Option<u64>) -> Option<FeedNews> {
+        let version = self.version?;
+        let since = known.filter(|known| *known >= self.floor);
+        let after = since.unwrap_or(0);
+        let is_new = |version: u64| since.is_none() || version > after;
+        let gone = self.gone.iter().filter(|(version, _)| *version > after);
+        let gone = gone.filter(|(_, key)| since.is_some() && !self.rows.contains_key(key));
+        let gone = gone.map(|(version, key)| FeedRow {
+            key: key.clone(),
+            version: *version,
+            value: None,
+        });
+        let rows = self.rows.iter().filter(|(_, (v, _))| is_new(*v));
+        let rows = rows.map(|(key, (version, value))| FeedRow {
             key: key.clone(),
             version: *version,
             value: Some(value.clone()),
         });
         Some(FeedNews {
-            since: None,
-            version: self.version?,
-            rows: rows.collect(),
+            since,
+            version,
+            rows: gone.chain(rows).collect(),
         })
     }
 
     fn missing_from(&self, all: &[FeedRow]) -> Vec<FeedRow> {
-        let listed: std::collections::BTreeSet<&SmolStr> = all.iter().map(|r| &r.key).collect();
+        let listed: BTreeSet<&SmolStr> = all.iter().map(|r| &r.key).collect();
         let gone = self.rows.iter().filter(|(key, _)| !listed.contains(key));
         gone.map(|(key, (version, _))| FeedRow {
             key: key.clone(),
@@ -158,7 +183,23 @@
                 self.rows.insert(row.key.clone(), new);
                 true
             }
-            (_, None) => self.rows.remove(&row.key).is_some(),
+            (_, None) => {
+                self.forget(row);
+                self.rows.remove(&row.key).is_some()
+            }
+        }
+    }
+
+    fn forget(&mut self, row: &FeedRow) {
+        // Rows that a list lacks bear the version that they had.
+        if row.version <= self.floor {
+            return;
+        }
+        self.gone.push_back((row.version, row.key.clone()));
+        if self.gone.len() > GONE_KEPT
+            && let Some((version, _)) = self.gone.pop_front()
+        {
+            self.floor = version;
         }
     }
 }
--- a/crates/decision/src/fleet/supply.rs
+++ b/crates/decision/src/fleet/supply.rs
@@ -1,4 +1,4 @@
-//! Limits on whole tables that an instance gives to others.
+//! Limits on what an instance gives to others of the store's tables.
 
 use crate::id::{InstanceId, Time};
 use std::collections::BTreeMap;
@@ -24,25 +24,32 @@
 pub struct Supply {
     used: f64,
     at: Time,
-    given: BTreeMap<(InstanceId, usize), Time>,
+    given: BTreeMap<(InstanceId, u8), Time>,
 }
 
 impl Supply {
-    /// Whether a table of so many bytes may be given to an instance now; it
-    /// counts as given then.
-    pub fn take(&mut self, now: Time, to: &InstanceId, table: usize, bytes: usize) -> bool {
+    /// Whether so many bytes may be given now; they count as given then.
+    pub fn take(&mut self, now: Time, bytes: usize) -> bool {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.used = (self.used - passed * RATE).max(0.0);
         self.at = now;
+        let fits = self.used + bytes as f64 <= BURST;
+        if fits {
+            self.used += bytes as f64;
+        }
+        fits
+    }
+
+    /// Whether a whole table may be given to an instance now, which may have
+    /// one on its way; it counts as given then.
+    pub fn take_whole(&mut self, now: Time, to: &InstanceId, table: u8) -> bool {
         self.given.retain(|_, at| now.saturating_sub(*at) < AGAIN);
         let key = (to.clone(), table);
-        let fits = self.used + bytes as f64 <= BURST;
-        if !fits || self.given.contains_key(&key) {
-            return false;
+        let is_new = !self.given.contains_key(&key);
+        if is_new {
+            self.given.insert(key, now);
         }
-        self.used += bytes as f64;
-        self.given.insert(key, now);
-        true
+        is_new
     }
 
     /// Notes that a connection was lost, with what was on its way.
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -319,9 +319,10 @@
     /// News of a table of the store, by its place in the fixed order.
     #[serde(rename = "N")]
     News(u8, Box<FeedNews>),
-    /// Asks for all rows of a table of the store.
+    /// Asks for what has changed in a table of the store since a version, or for
+    /// all rows.
     #[serde(rename = "S")]
-    NewsAsk(u8),
+    NewsAsk(u8, Option<u64>),
 }
 
 impl Message {
@@ -348,7 +349,7 @@
             Message::AnswerPart { .. } => "answer_part",
             Message::Pulse(_) => "pulse",
             Message::News(..) => "news",
-            Message::NewsAsk(_) => "news_ask",
+            Message::NewsAsk(..) => "news_ask",
         }
     }
 }
--- a/crates/decision/src/node/mod.rs
+++ b/crates/decision/src/node/mod.rs
@@ -301,7 +301,7 @@
             }),
             part @ Message::AnswerPart { .. } => out.push(Command::Part(part)),
             // Instances on the operators' platform tell these; none is there.
-            Message::Pulse(_) | Message::News(..) | Message::NewsAsk(_) => {}
+            Message::Pulse(_) | Message::News(..) | Message::NewsAsk(..) => {}
         }
     }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -100,7 +100,8 @@
         self.0.send(&name, address, &pulse);
         for (table, feed) in gateway.feeds.borrow().iter().enumerate() {
             if feed.version().is_none() {
-                self.0.send(&name, address, &Message::NewsAsk(table as u8));
+                self.0
+                    .send(&name, address, &Message::NewsAsk(table as u8, None));
             }
         }
     }
@@ -115,7 +116,7 @@
             PeerEvent::Message { from, message } => match message {
                 Message::Pulse(pulse) => self.pulsed(gateway, &from, *pulse),
                 Message::News(table, news) => self.told(gateway, &from, table.into(), *news),
-                Message::NewsAsk(table) => self.asked(gateway, &from, table),
+                Message::NewsAsk(table, known) => self.asked(gateway, &from, table, known),
                 other => log::debug!("{from} sent {}, which is not used here", other.kind()),
             },
         }
@@ -138,7 +139,7 @@
         for (table, feed) in feeds.into_iter().enumerate().take(TABLES.len()) {
             let known = gateway.feeds.borrow()[table].version();
             if feed.is_some_and(|f| known.is_none_or(|k| f.changed > k)) {
-                self.send(gateway, from, &Message::NewsAsk(table as u8));
+                self.send(gateway, from, &Message::NewsAsk(table as u8, known));
             }
         }
     }
@@ -150,19 +151,26 @@
         match gateway.apply(table, news) {
             Ok(Some(news)) => self.pass_on(gateway, table, &news),
             Ok(None) => {}
-            Err(Gap) => self.send(gateway, from, &Message::NewsAsk(table as u8)),
+            Err(Gap) => {
+                let known = gateway.feeds.borrow()[table].version();
+                self.send(gateway, from, &Message::NewsAsk(table as u8, known));
+            }
         }
     }
 
-    fn asked(&self, gateway: &Shared, from: &InstanceId, table: u8) {
+    fn asked(&self, gateway: &Shared, from: &InstanceId, table: u8, known: Option<u64>) {
         let now = gateway.now();
         let feeds = gateway.feeds.borrow();
         let Some(feed) = feeds.get(usize::from(table)) else {
             return;
         };
-        let Some(news) = feed.snapshot() else { return };
+        let Some(news) = feed.since(known) else {
+            return;
+        };
         let mut supply = gateway.supply.borrow_mut();
-        if supply.take(now, from, usize::from(table), feed.size()) {
+        let is_whole = news.since.is_none();
+        let is_given = !is_whole || supply.take_whole(now, from, table);
+        if is_given && supply.take(now, news.size()) {
             self.send(gateway, from, &Message::News(table, Box::new(news)));
         } else {
             gateway
