--- a/crates/decision/tests/heavy.rs
+++ b/crates/decision/tests/heavy.rs
@@ -154,42 +154,39 @@
     (114, 60, 570.0, 1_200),
 ];
 
+/// Load of each fleet, with so much of it about one subject.
+fn loads(hot: f64) -> impl Iterator<Item = Load> {
+    FLEETS
+        .map(|(instances, targets, rate, subjects)| Load {
+            instances,
+            targets,
+            rate,
+            length: 0.8,
+            subjects,
+            hot,
+            seconds: 12,
+        })
+        .into_iter()
+}
+
 #[test]
 fn loads_that_are_told_late_keep_to_the_bound() {
-    for (instances, targets, rate, subjects) in FLEETS {
-        for hot in [0.0, 0.15, 0.3] {
-            let load = Load {
-                instances,
-                targets,
-                rate,
-                length: 0.8,
-                subjects,
-                hot,
-                seconds: 12,
-            };
-            let seen = play(&load, 7);
-            println!("{instances} instances, {hot} hot: {seen:?}");
-            // The operators allow 3 in 100.
-            assert!(
-                seen.over < 0.015,
-                "{instances} instances, {hot} hot: {seen:?}"
-            );
-        }
+    for load in [0.0, 0.15, 0.3].into_iter().flat_map(loads) {
+        let (instances, hot) = (load.instances, load.hot);
+        let seen = play(&load, 7);
+        println!("{instances} instances, {hot} hot: {seen:?}");
+        // The operators allow 3 in 100.
+        assert!(
+            seen.over < 0.015,
+            "{instances} instances, {hot} hot: {seen:?}"
+        );
     }
 }
 
 #[test]
 fn prompts_go_home_while_no_subject_is_hot() {
-    for (instances, targets, rate, subjects) in FLEETS {
-        let load = Load {
-            instances,
-            targets,
-            rate,
-            length: 0.8,
-            subjects,
-            hot: 0.0,
-            seconds: 12,
-        };
+    for load in loads(0.0) {
+        let instances = load.instances;
         let seen = play(&load, 11);
         assert!(seen.home > 0.8, "{instances} instances: {seen:?}");
     }
