--- a/crates/decision/src/fleet/reader.rs
+++ b/crates/decision/src/fleet/reader.rs
@@ -9,7 +9,6 @@
 /// Time after its start for which an instance leaves what it can be told to
 /// others: seeds are asked several times in it, and a pulse comes.
 const SETTLING: Duration = Duration::from_millis(400);
-
 /// Age beyond the hubs' that an own copy may reach before it is read: news and
 /// the pulse that proves it come within a few pulses.
 const COPY_SLACK: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -158,6 +158,8 @@
         }
     }
 
+    /// Answers a question for news, as far as the rate allows: who gets nothing
+    /// reads the store once its copy falls behind.
     fn asked(&self, gateway: &Shared, from: &InstanceId, table: u8, known: Option<u64>) {
         let now = gateway.now();
         let feeds = gateway.feeds.borrow();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -30,8 +30,8 @@
         at_start: false,
     },
 ];
-/// Hubs that follow what has no bound on its age: a second one, so that
-/// nobody waits where one is lost.
+/// Hubs that follow the entries of targets and read the list of instances: a
+/// second one, so that nobody waits where one is lost.
 const LIST_READERS: usize = 2;
 /// Interval at which an instance that doesn't read looks whether it must.
 const LOOK: Duration = Duration::from_millis(100);
