Write the last log lines before a process ends

Ruled out: dropped lines, which would be counted. Change: a process that ends waits until what was logged is written, 0.2 s at the most, half of the margin by which it ends before the kill. Test: 50 processes that fail to start all tell why; some told nothing before.

--- a/crates/briargap/src/logging.rs
+++ b/crates/briargap/src/logging.rs
@@ -5,13 +5,21 @@
 use serde_json::{Value, json};
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::SystemTime;
+use std::time::{Duration, Instant, SystemTime};
 
 /// Lines that wait to be written; further ones are dropped and counted.
 const LINES_WAITING: usize = 512;
 /// Stack of the thread that writes lines.
 const WRITER_STACK: usize = 64 << 10;
 
+/// Longest that a process which ends waits for its last lines: half of the time
+/// by which an instance ends before it would be killed.
+const FINISH_LIMIT: Duration = Duration::from_millis(200);
+/// Interval at which it looks whether they are written.
+const FINISH_LOOK: Duration = Duration::from_millis(2);
+
+/// Lines that wait or are being written.
+static WAITING: AtomicU64 = AtomicU64::new(0);
 /// Lines that were dropped because the output did not take them in time.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -78,7 +86,9 @@
         .map_err(|e| failed(e.to_string()))?;
     let instance = instance.to_owned();
     let output = fern::Output::call(move |record| {
+        WAITING.fetch_add(1, Ordering::Relaxed);
         if sender.try_send(line(record, &instance)).is_err() {
+            WAITING.fetch_sub(1, Ordering::Relaxed);
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
     });
@@ -105,6 +115,15 @@
                 json!({"event": "lines dropped", "count": dropped})
             );
         }
+        WAITING.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Waits for a while until the last lines are written.
+pub fn finish() {
+    let until = Instant::now() + FINISH_LIMIT;
+    while WAITING.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        std::thread::sleep(FINISH_LOOK);
     }
 }
 
--- a/crates/briargap/src/serve.rs
+++ b/crates/briargap/src/serve.rs
@@ -106,13 +106,15 @@
         let instance = gateway::Instance::start(settings).await?;
         instance.until_stopped(reread).await
     };
-    match local.block_on(&runtime, running) {
+    let code = match local.block_on(&runtime, running) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
             ExitCode::FAILURE
         }
-    }
+    };
+    briargap::logging::finish();
+    code
 }
 
 async fn run(settings: Settings) -> ExitCode {
--- a/crates/briargap/tests/client.rs
+++ b/crates/briargap/tests/client.rs
@@ -74,3 +74,35 @@
         "the call needs --token-file or BRIARGAP_TOKEN_FILE"
     );
 }
+
+#[test]
+fn the_last_line_of_a_process_is_written() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let taken = listener.local_addr().expect("an address").to_string();
+    let settings = serde_json::json!({
+        "instance": "i1", "domain": "one",
+        "listen": {
+            "callers": "127.0.0.1:0", "ready": taken, "directory": "127.0.0.1:0",
+            "control": "127.0.0.1:0", "peers": "127.0.0.2:0",
+        },
+        "store": { "address": "127.0.0.1:1" },
+        "bounds": {
+            "key_age_ms": 5000, "grace_s": 8, "lookup_s": 5, "retry_ratio": 0.2,
+            "retry_slack": 100.0, "cold_excess": 1.5, "cold_slack": 5.0, "load_multiple": 2.0,
+        },
+        "machine": { "cores": 0.5, "descriptors": 2000 },
+    });
+    let path = std::env::temp_dir().join(format!("briargap-last-line-{}", std::process::id()));
+    std::fs::write(&path, settings.to_string()).expect("settings");
+    for _ in 0..50 {
+        let output = Command::new(env!("CARGO_BIN_EXE_briargap"))
+            .args(["serve", "--settings"])
+            .arg(&path)
+            .output()
+            .expect("the command runs");
+        assert_eq!(output.status.code(), Some(1));
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert!(text.contains("listen for checks on"), "{text:?}");
+    }
+    std::fs::remove_file(&path).expect("removed");
+}
