--- a/crates/bench/src/child.rs
+++ b/crates/bench/src/child.rs
@@ -1,5 +1,6 @@
 //! A process of the built binary, ended by its id.
 
+use bpaf::{Parser, long};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -25,6 +26,15 @@
     }
 }
 
+/// Option that names the built binary.
+pub(crate) fn binary() -> impl Parser<PathBuf> {
+    long("binary")
+        .help("Built binary")
+        .argument::<PathBuf>("FILE")
+        .fallback(PathBuf::from("target/release/briargap"))
+        .debug_fallback()
+}
+
 /// A process that is started, signalled and ended here.
 pub(crate) struct Daemon {
     settings: PathBuf,
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 mod process;
 mod report;
 
-use crate::child::Folder;
+use crate::child::{Folder, binary};
 use crate::client::Caller;
 use crate::kit;
 use crate::standin::{Engine, EngineOptions, PlatformStandIn, Service};
@@ -27,13 +27,7 @@
 /// Options of `bench fleet`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct FleetOptions {
-    /// Built binary
-    #[bpaf(
-        long,
-        argument("FILE"),
-        fallback(PathBuf::from("target/release/briargap")),
-        debug_fallback
-    )]
+    #[bpaf(external(binary))]
     binary: PathBuf,
     /// Deployment: hoepelgilde or great-lakes
     #[bpaf(long, argument("NAME"), fallback("hoepelgilde".to_owned()), display_fallback)]
--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -3,7 +3,7 @@
 use super::world::Keys;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use standin::caller::{self, Answer};
+use standin::caller::{self, Answer, Request};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -11,7 +11,9 @@
 
 /// Events of a stream.
 pub const EVENTS: u64 = 6;
-/// Longest that a caller waits; over the limit of the routes.
+/// Time for which a caller says that it waits: the routes' own limit.
+const WAIT: Duration = Duration::from_secs(6);
+/// Longest that it waits.
 const LIMIT: Duration = Duration::from_secs(8);
 /// Time for which an answer of the directory is kept.
 const LOOKUP: Duration = Duration::from_secs(1);
@@ -71,7 +73,7 @@
         std::thread::sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS)));
         if instances.is_empty() || asked.elapsed() > LOOKUP {
             let directory = field.directories[rng.random_range(0..field.directories.len())];
-            if let Some(found) = resolve(directory) {
+            if let Some(found) = caller::resolve(directory, LOOKUP) {
                 instances = found;
                 asked = Instant::now();
             }
@@ -118,12 +120,17 @@
     };
     let path = format!("/{prefix}/{id}");
     let (place, key) = field.keys.draw(rng);
-    let text = format!(
-        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
-         X-Deadline-Ms: 6000\r\nApi-Key: {key}\r\nContent-Length: 0\r\n\r\n"
-    );
+    let request = Request {
+        method,
+        path: &path,
+        attempt: id,
+        key: &key,
+        wait: WAIT,
+        more: "",
+        body: "",
+    };
     let sent = Instant::now();
-    let answer = caller::send(stream, &text, LIMIT);
+    let answer = caller::send(stream, &request.text(), LIMIT);
     Call {
         id: id.to_owned(),
         kind,
@@ -136,12 +143,3 @@
         answer,
     }
 }
-
-fn resolve(directory: SocketAddr) -> Option<Vec<SocketAddr>> {
-    let text = "GET /resolve?Name=shop.example&Region=r&Zone=d0 HTTP/1.1\r\nHost: x\r\n\r\n";
-    let answer = caller::call(directory, text, LOOKUP).ok()?;
-    let value: serde_json::Value = serde_json::from_str(&answer.body).ok()?;
-    let addresses = value["Addresses"].as_array()?;
-    let addresses = addresses.iter().filter_map(|a| a.as_str()?.parse().ok());
-    Some(addresses.collect())
-}
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -86,7 +86,7 @@
         Kind::Stream => standin::pieces(1, EVENTS),
         Kind::Read | Kind::Order => format!("{} {}", call.id, call.path),
     };
-    (answer.body != expected || answer.header("x-attempt-id") != Some(&call.id)).then_some("MIXED")
+    (answer.body != expected || answer.attempt() != Some(&call.id)).then_some("MIXED")
 }
 
 /// A request ran by a key that had been taken away for too long.
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -17,10 +17,12 @@
 pub use judge::{Evidence, judge};
 pub use world::{KEY_AGE, Keys, Run};
 
+use crate::child::binary;
 use bpaf::Bpaf;
 use caller::Field;
 use plan::Step;
 use serde_json::json;
+use standin::caller::is_ready;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -31,13 +33,7 @@
 /// Options of `bench soak`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct SoakOptions {
-    /// Built binary
-    #[bpaf(
-        long,
-        argument("FILE"),
-        fallback(PathBuf::from("target/release/briargap")),
-        debug_fallback
-    )]
+    #[bpaf(external(binary))]
     binary: PathBuf,
     /// First seed
     #[bpaf(long, argument("SEED"), fallback(1), display_fallback)]
@@ -64,6 +60,8 @@
 
 /// Time in which all instances are ready, at the start and after the faults.
 const READY: Duration = Duration::from_secs(8);
+/// Longest that one answer to whether an instance is ready takes.
+const READY_ANSWER: Duration = Duration::from_secs(1);
 /// Time after the faults in which requests must be served.
 const CALM: Duration = Duration::from_secs(3);
 /// Time after which a target whose entry is gone gets no request.
@@ -202,14 +200,9 @@
 /// Waits until all instances are ready; returns what is wrong if they are not.
 fn ready(world: &World, what: &str) -> Vec<String> {
     let until = Instant::now() + READY;
-    let text = "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n";
-    let is_ready = |address| {
-        let answer = standin::caller::call(address, text, Duration::from_secs(1));
-        answer.is_ok_and(|a| a.status == 200)
-    };
     let mut waiting = world.ready();
     while !waiting.is_empty() && Instant::now() < until {
-        waiting.retain(|address| !is_ready(*address));
+        waiting.retain(|address| !is_ready(*address, READY_ANSWER));
         std::thread::sleep(LOOK);
     }
     waiting.iter().map(|a| format!("{what}: {a}")).collect()
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -22,6 +22,8 @@
 const SLOW: Duration = Duration::from_millis(250);
 /// Failure domains.
 const DOMAINS: usize = 2;
+/// Slots of a target, by its entry.
+const SLOTS: u32 = 8;
 
 /// Keys that were ever given out; the last one is in force.
 pub struct Keys(Mutex<Vec<(String, Option<Instant>)>>);
@@ -56,11 +58,10 @@
     }
 
     /// Gives out another key, which is in force from now on.
-    pub fn add(&self) -> String {
+    pub fn add(&self) {
         let mut keys = self.0.lock().expect("keys");
         let key = format!("key-{}", keys.len());
-        keys.push((key.clone(), None));
-        key
+        keys.push((key, None));
     }
 
     /// Notes that all keys but the last are taken away now.
@@ -141,8 +142,8 @@
         let targets = (0..targets).map(|place| target(place, &runs)).collect();
         let mut nodes: Vec<Node> = Vec::new();
         for place in 0..instances {
-            let seeds = nodes.first().map(Node::seed);
-            nodes.push(Node::new(binary, &folder, place, store.address(), seeds)?);
+            let seed = nodes.first().map(|n| n.peers);
+            nodes.push(Node::new(binary, &folder, place, store.address(), seed)?);
         }
         let mut world = World {
             store,
@@ -182,23 +183,18 @@
     fn configure(&mut self) {
         self.version += 1;
         let (_, key) = self.keys.current();
-        let text = standin::configuration(self.version, &[&key]);
-        self.store.put("op", "config", text);
+        self.store.configure(self.version, &[&key]);
     }
 
     fn enter(&self, place: usize, state: &str) {
-        let target = &self.targets[place];
-        let entry = json!({
-            "Service": "pool", "Address": target.proxy.address(),
-            "Zone": format!("d{}", place % DOMAINS), "Version": "v1", "Slots": 8,
-            "State": state, "ColdLeftMs": 0, "SeqNo": 1, "born": 1,
-        });
-        self.store.put("servers", &id(place), entry.to_string());
+        let address = self.targets[place].proxy.address();
+        let entry = standin::entry("pool", address, &domain(place), SLOTS, state);
+        self.store.enter(&id(place), entry);
     }
 
     /// Takes a target's entry away for good.
     pub(super) fn remove(&self, place: usize) {
-        self.store.remove("servers", &id(place));
+        self.store.leave(&id(place));
     }
 
     /// Begins a fault; one that doesn't fit the state of its process is left
@@ -297,14 +293,18 @@
     format!("t{place}")
 }
 
+fn domain(place: usize) -> String {
+    format!("d{}", place % DOMAINS)
+}
+
 fn target(place: usize, runs: &Arc<Mutex<Vec<Run>>>) -> Target {
     let runs = runs.clone();
     let stand_in = EngineStandIn::start(&id(place), move |seen| {
         runs.lock().expect("runs").push(Run {
             at: Instant::now(),
-            id: seen.header("x-attempt-id").to_owned(),
+            id: seen.attempt().to_owned(),
             path: seen.path.clone(),
-            workspace: seen.header("x-tenant").to_owned(),
+            workspace: seen.workspace().to_owned(),
             target: place,
         });
         if seen.path.starts_with("/resume/") {
@@ -336,7 +336,7 @@
         let store = Proxy::start(store);
         let [callers, ready, directory, control, peers] = [(); 5].map(|()| free_address());
         let settings = json!({
-            "instance": name, "domain": format!("d{}", place % DOMAINS),
+            "instance": name, "domain": domain(place),
             "listen": {
                 "callers": callers, "ready": ready, "directory": directory,
                 "control": control, "peers": peers,
@@ -362,13 +362,6 @@
             peers,
         })
     }
-}
-
-impl Node {
-    /// Address of its mesh, for others that start.
-    fn seed(&self) -> SocketAddr {
-        self.peers
-    }
 
     fn start(&mut self) {
         if self.state == State::Down {
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -7,15 +7,6 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn answer(status: u16, id: &str, body: &str) -> Answer {
-    Answer {
-        status,
-        head: format!("HTTP/1.1 {status} Any\r\nX-Attempt-Id: {id}"),
-        body: body.to_owned(),
-        is_whole: true,
-    }
-}
-
 /// A request that was served as it should be, and its run.
 fn served(kind: Kind) -> (Call, Run) {
     let now = Instant::now();
@@ -33,7 +24,7 @@
         sent: now,
         ended: now + SECOND,
         kept: false,
-        answer: answer(200, "a", &body),
+        answer: Answer::whole(200, "a", &body),
     };
     let run = Run {
         at: now,
@@ -82,7 +73,7 @@
 #[test]
 fn a_refusal_of_what_ran_is_seen() {
     let (mut call, run) = served(Kind::Read);
-    call.answer = answer(503, "a", "");
+    call.answer = Answer::whole(503, "a", "");
     assert_eq!(broken(&[call], &[run], &Keys::default(), &[]), ["REFUSED"]);
 }
 
@@ -90,10 +81,10 @@
 fn another_answer_and_one_that_lacks_an_event_are_seen() {
     let keys = Keys::default();
     let (mut call, run) = served(Kind::Read);
-    call.answer = answer(200, "b", "b /any/b");
+    call.answer = Answer::whole(200, "b", "b /any/b");
     assert_eq!(broken(&[call], &[run], &keys, &[]), ["MIXED"]);
     let (mut call, run) = served(Kind::Stream);
-    call.answer = answer(200, "a", &pieces(2, EVENTS));
+    call.answer = Answer::whole(200, "a", &pieces(2, EVENTS));
     assert_eq!(broken(&[call], &[run], &keys, &[]), ["MIXED"]);
 }
 
