Look a key up in one place, and greet only whom a hub greets

Router::admit and Router::readmit each decided whether a key may be honoured; Router::owner does for both. A hub copied all that it knows of the fleet twice in each pulse, for greetings that are due once for each instance; it now does so when one is due. briargap state formats both kinds of state in one place. Behaviour as before; the tests are unchanged.

--- a/crates/briargap/src/client.rs
+++ b/crates/briargap/src/client.rs
@@ -74,11 +74,7 @@
     match action {
         Action::State { .. } => {
             let state = client.state()?;
-            Ok(if as_json {
-                Output::Json(state)
-            } else {
-                Output::Table(state_table(&state))
-            })
+            Ok(state_output(state, as_json, state_table))
         }
         Action::Services => {
             let services = client.services()?;
@@ -213,11 +209,15 @@
 fn platform_state(control: &str, as_json: bool) -> operator::Result<Output> {
     let request = minreq::get(format!("http://{control}/state"));
     let state = ask("state", control, request)?;
-    Ok(if as_json {
+    Ok(state_output(state, as_json, platform_table))
+}
+
+fn state_output(state: Value, as_json: bool, table: fn(&Value) -> Vec<Vec<String>>) -> Output {
+    if as_json {
         Output::Json(state)
     } else {
-        Output::Table(platform_table(&state))
-    })
+        Output::Table(table(&state))
+    }
 }
 
 fn ask(step: &str, peer: &str, request: minreq::Request) -> operator::Result<Value> {
--- a/crates/decision/src/fleet/tell.rs
+++ b/crates/decision/src/fleet/tell.rs
@@ -105,28 +105,27 @@
             self.ages(now, |_| tells_all),
             self.work_to_tell(now, own, |_| true),
         );
-        let greeting = self.heard(now, is_here);
         for hub in self.other_hubs(now) {
-            self.tell(out, &hub, &to_hubs, &greeting);
+            self.tell(now, out, &hub, &to_hubs);
         }
-        let greeting = self.heard(now, |_| true);
         let here = self.peers.values().filter(|p| is_here(p));
         // Those that are silent may not know of this hub.
         let here = here.filter(|p| self.is_heard(p, now) || tells_all && !p.listing.leaving);
         let here: Vec<Listing> = here.map(|p| p.listing.clone()).collect();
         for listing in here {
-            self.tell(out, &listing, &to_domain, &greeting);
+            self.tell(now, out, &listing, &to_domain);
         }
     }
 
-    /// Sends a pulse, the first one with all that is known of others.
-    fn tell(&mut self, out: &mut Vec<Outgoing>, to: &Listing, pulse: &Pulse, greeting: &[Heard]) {
+    /// Sends a pulse, the first one with all that is known of those it covers.
+    fn tell(&mut self, now: Time, out: &mut Vec<Outgoing>, to: &Listing, pulse: &Pulse) {
         let greeted = self.peers.get_mut(&to.id).map(|p| &mut p.greeted);
         if greeted.is_some_and(|greeted| std::mem::replace(greeted, true)) {
             return self.send(out, to, pulse);
         }
+        let is_covered = |p: &Peer| pulse.scope == Scope::All || p.listing.domain == self.me.domain;
         let first = Pulse {
-            heard: greeting.to_vec(),
+            heard: self.heard(now, is_covered),
             ..pulse.clone()
         };
         self.send(out, to, &first);
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -10,11 +10,12 @@
 pub use roster::{Ending, Lease, RosterRow};
 
 use crate::budget::Budget;
-use crate::catalog::{Catalog, Route, TargetEntry};
+use crate::catalog::{Catalog, KeyOwner, Route, TargetEntry};
 use crate::fleet::Work;
 use crate::id::{DomainId, ServiceId, TargetId, Time, Version, WorkspaceId};
 use roster::Roster;
 use serde::Serialize;
+use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -221,20 +222,15 @@
         hash: u64,
     ) -> Result<Admission, Refusal> {
         let catalog = self.catalog.as_ref().ok_or(Refusal::Unconfigured)?;
-        let is_fresh = self.freshness.holds(now);
         let Some(route) = catalog.route(host, path) else {
-            return Err(if is_fresh {
+            return Err(if self.freshness.holds(now) {
                 Refusal::NoRoute
             } else {
                 Refusal::Stale
             });
         };
         let owner = match &catalog.keys {
-            Some(_) if !route.public && !is_fresh => return Err(Refusal::Stale),
-            Some(keys) if !route.public => {
-                let owner = key.and_then(|k| keys.get(k));
-                Some(owner.ok_or(Refusal::BadKey)?)
-            }
+            Some(keys) if !route.public => Some(self.owner(now, keys, key)?),
             _ => None,
         };
         let service = route.service(hash).ok_or(Refusal::NoTarget)?;
@@ -262,13 +258,27 @@
         let Some(workspace) = &admission.workspace else {
             return Ok(());
         };
+        let none = BTreeMap::new();
         let keys = self.catalog.as_ref().and_then(|c| c.keys.as_ref());
-        let owner = keys.zip(key).and_then(|(keys, key)| keys.get(key));
-        match owner {
-            _ if !self.freshness.holds(now) => Err(Refusal::Stale),
-            Some(owner) if owner.workspace == *workspace => Ok(()),
-            _ => Err(Refusal::BadKey),
+        let owner = self.owner(now, keys.unwrap_or(&none), key)?;
+        if owner.workspace == *workspace {
+            Ok(())
+        } else {
+            Err(Refusal::BadKey)
+        }
+    }
+
+    /// Owner of a key, if keys may be honoured now.
+    fn owner<'a>(
+        &self,
+        now: Time,
+        keys: &'a BTreeMap<SmolStr, KeyOwner>,
+        key: Option<&str>,
+    ) -> Result<&'a KeyOwner, Refusal> {
+        if !self.freshness.holds(now) {
+            return Err(Refusal::Stale);
         }
+        key.and_then(|k| keys.get(k)).ok_or(Refusal::BadKey)
     }
 
     /// Chooses a target and counts the request there until [`Router::ended`].
