--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -137,27 +137,17 @@
         churn.push((*size as f64, extra));
     }
     vec![
-        Line::fit(
-            ("member", "heartbeats at rest", "bytes/s"),
-            "instances",
-            INSTANCES,
-            bytes,
-        ),
-        Line::fit(
-            ("member", "ticks and heartbeats", "% of a core"),
-            "instances",
-            INSTANCES,
-            busy,
-        ),
-        Line::fit(
-            ("member", "a death and a join", "bytes"),
-            "instances",
-            INSTANCES,
-            churn,
-        ),
+        by_instances(("member", "heartbeats at rest", "bytes/s"), bytes),
+        by_instances(("member", "ticks and heartbeats", "% of a core"), busy),
+        by_instances(("member", "a death and a join", "bytes"), churn),
     ]
 }
 
+/// Line of a figure over the number of instances.
+fn by_instances(what: (&'static str, &'static str, &'static str), points: Vec<(f64, f64)>) -> Line {
+    Line::fit(what, "instances", INSTANCES, points)
+}
+
 fn total_bytes(net: &Net) -> u64 {
     net.sent().values().map(|s| s.1).sum()
 }
@@ -198,22 +188,13 @@
         order.push((*size as f64, took));
     }
     vec![
-        Line::fit(
+        by_instances(
             ("spreader", "a document in force everywhere", "ms"),
-            "instances",
-            INSTANCES,
             document,
         ),
-        Line::fit(
-            ("spreader", "a domain order known everywhere", "ms"),
-            "instances",
-            INSTANCES,
-            order,
-        ),
-        Line::fit(
+        by_instances(("spreader", "a domain order known everywhere", "ms"), order),
+        by_instances(
             ("spreader", "bytes of one change of a document", "bytes"),
-            "instances",
-            INSTANCES,
             bytes,
         ),
     ]
