Log what a choice of a target went by, and what the target counted

Change: each attempt tells the service's targets, those usable, the requests at all of them, the age of what others told, and the load in the target's answer; counters of both against the limit. No decision reads them.

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -168,6 +168,17 @@
         fresh.map(|(_, work)| work.clone()).unwrap_or_default()
     }
 
+    /// When the oldest work in [`Fleet::others`] was told; `None` where none is
+    /// known.
+    pub fn others_at(&self, now: Time) -> Option<Time> {
+        let is_fresh = |at: &Time| now.saturating_sub(*at) < WORK_AGE;
+        if self.is_hub(now) {
+            let worked = self.peers.values().filter_map(|p| p.worked);
+            return worked.filter(is_fresh).min();
+        }
+        self.others.as_ref().map(|(at, _)| *at).filter(is_fresh)
+    }
+
     fn sum(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Work {
         let is_fresh = |peer: &Peer| {
             let worked = peer.worked;
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -73,7 +73,7 @@
 pub use ramp::Ramp;
 pub use request::{Action, Input, Outcome, Request, RequestPlan};
 pub use router::{
-    Admission, Ending, Freshness, Lease, Need, Pick, Refusal, RosterRow, Router, RouterBounds,
-    RouterDump,
+    Admission, Ending, Freshness, Lease, Need, Pick, PoolView, Refusal, RosterRow, Router,
+    RouterBounds, RouterDump,
 };
 pub use slots::{Denial, Report, Slots};
--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -5,6 +5,7 @@
 use crate::catalog::Stage;
 use crate::hash::rank;
 use crate::id::{ServiceId, Subject, TargetId, Time};
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +16,8 @@
 const BOUND_SHARES: (f64, f64) = (0.6, 0.85);
 /// Requests above the multiple of the mean that a target may have.
 const BOUND_SLACK: f64 = 2.0;
+/// Requests above the multiple of the mean that the operators allow.
+const LIMIT_SLACK: f64 = 3.0;
 /// Share of a cold target's limit that all instances use together.
 const COLD_SHARE: f64 = 0.8;
 /// Time for which a target that has just come may lack its prompts.
@@ -36,6 +39,20 @@
     pub tried: &'a [TargetId],
 }
 
+/// The pool of a service as an instance knew it when it chose a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct PoolView {
+    /// Targets of the service, whether they take requests or not.
+    pub targets: u32,
+    /// Targets that could take the request.
+    pub usable: u32,
+    /// Requests at all targets of the service, by all instances.
+    pub load: u32,
+    /// Milliseconds since the work of the other instances was told; `None`
+    /// where nothing of it is known.
+    pub age_ms: Option<u64>,
+}
+
 /// Target of one attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
@@ -51,6 +68,11 @@
     pub bound: u32,
     /// Place of the target in the prompt's order; 0 is its home.
     pub place: u32,
+    /// The pool as it was known.
+    pub pool: PoolView,
+    /// Load above which the operators count the target as loaded past the
+    /// multiple of its pool's mean.
+    pub limit: u32,
 }
 
 type Candidate<'a> = (&'a TargetId, &'a TargetState);
@@ -61,6 +83,7 @@
         return Err(Refusal::NoTarget);
     }
     let bound = bound(router, &usable, need.hash);
+    let pool = pool_view(router, now, need.service, usable.len());
     let found = match need.subject {
         Some(subject) => {
             let spread = spread(router, now, &usable, subject);
@@ -88,9 +111,29 @@
         load,
         bound,
         place,
+        pool,
+        limit: limit(router, &pool),
     })
 }
 
+fn pool_view(router: &Router, now: Time, service: &ServiceId, usable: usize) -> PoolView {
+    let all = router.roster.of_service(service);
+    let (targets, load) = all.fold((0, 0), |(n, load), (_, s)| (n + 1, load + s.load()));
+    let age = router.others_at.map(|at| now.saturating_sub(at));
+    PoolView {
+        targets,
+        usable: usable as u32,
+        load,
+        age_ms: age.map(|age| age.as_millis() as u64),
+    }
+}
+
+/// Load above which a target is past the multiple of its pool's mean.
+fn limit(router: &Router, pool: &PoolView) -> u32 {
+    let mean = f64::from(pool.load) / f64::from(pool.targets.max(1));
+    (mean * router.bounds.load_multiple + LIMIT_SLACK) as u32
+}
+
 /// Targets that may take the request; those set aside only if there are no
 /// others, so that a failing pool is still tried.
 fn usable<'a>(router: &'a Router, now: Time, need: &'a Need<'_>) -> Vec<Candidate<'a>> {
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -5,7 +5,7 @@
 mod roster;
 mod subjects;
 
-pub use choose::{Need, Pick};
+pub use choose::{Need, Pick, PoolView};
 pub use freshness::Freshness;
 pub use roster::{Ending, Lease, RosterRow};
 
@@ -94,6 +94,8 @@
     subjects: subjects::Subjects,
     instances: usize,
     position: usize,
+    /// When the work of the others was told, if any was.
+    others_at: Option<Time>,
 }
 
 impl Router {
@@ -109,6 +111,7 @@
             subjects: subjects::Subjects::default(),
             instances: 1,
             position: 0,
+            others_at: None,
         }
     }
 
@@ -184,8 +187,10 @@
         self.position = position;
     }
 
-    /// Takes the work that all other instances have at targets.
-    pub fn others(&mut self, work: Work) {
+    /// Takes the work that all other instances have at targets, and when it
+    /// was told.
+    pub fn others(&mut self, at: Option<Time>, work: Work) {
+        self.others_at = at;
         self.roster.others(&work.targets);
         self.subjects.others(work.subjects);
     }
--- a/crates/decision/tests/heavy.rs
+++ b/crates/decision/tests/heavy.rs
@@ -58,7 +58,7 @@
         if told.len() > LAG {
             let own = told.pop_front().expect("told before");
             if step.is_multiple_of(TELL) {
-                tell(&mut routers, &own);
+                tell(now, &mut routers, &own);
             }
         }
         let expected = load.rate * STEP.as_secs_f64();
@@ -101,14 +101,14 @@
     }
 }
 
-fn tell(routers: &mut [Router], own: &[Work]) {
+fn tell(now: Duration, routers: &mut [Router], own: &[Work]) {
     for (number, router) in routers.iter_mut().enumerate() {
         let mut others = Work::default();
         for (_, work) in own.iter().enumerate().filter(|(n, _)| *n != number) {
             others.add(work);
         }
         others.keep_subjects(16);
-        router.others(others);
+        router.others(Some(now), others);
     }
 }
 
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -218,10 +218,13 @@
 fn requests_of_others_count_towards_the_bound() {
     let mut router = router(4);
     let home = router.choose(Time::ZERO, &prompt(9)).expect("a target");
-    router.others(Work {
-        targets: Counts(BTreeMap::from([(target_tag(&home.lease.target), 40)])),
-        ..Work::default()
-    });
+    router.others(
+        Some(Time::ZERO),
+        Work {
+            targets: Counts(BTreeMap::from([(target_tag(&home.lease.target), 40)])),
+            ..Work::default()
+        },
+    );
     let next = router.choose(Time::ZERO, &prompt(9)).expect("a target");
     assert_ne!(next.lease.target, home.lease.target);
     assert_eq!(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -56,6 +56,8 @@
 pub(crate) struct Opened {
     pub(crate) answer: Response<Incoming>,
     pub(crate) driver: Driver,
+    /// Requests that the target held, this one included, if it tells.
+    pub(crate) held: Option<u32>,
 }
 
 /// Why an attempt gave no answer.
@@ -142,7 +144,11 @@
     let (answer, driver) = answered.map_err(|_| Miss::Lost("no answer in time".to_owned()))??;
     let status = answer.status().as_u16();
     match requests::answer_head(status, answer.headers(), &call.attempt) {
-        AnswerHead::Ran => Ok(Opened { answer, driver }),
+        AnswerHead::Ran => Ok(Opened {
+            held: requests::held_at_target(answer.headers()),
+            answer,
+            driver,
+        }),
         AnswerHead::NotRun => Err(Miss::Full),
         AnswerHead::Moved => Err(Miss::Moved),
         AnswerHead::Foreign => Err(Miss::Lost("the answer is for another request".to_owned())),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -78,7 +78,7 @@
         let mut router = gateway.router.borrow_mut();
         let (instances, position) = fleet.share(now);
         router.share_of(instances, position);
-        router.others(fleet.others(now));
+        router.others(fleet.others_at(now), fleet.others(now));
         router.sweep(now);
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,9 @@
 use crate::Shared;
 use crate::attempt::{self, Call, Held, Miss, Opened};
 use crate::relay::{self, Outlet};
-use decision::{Admission, Ending, Need, Pick, Refusal, Repeat, TargetId, Time, hash_parts};
+use decision::{
+    Admission, Ending, Need, Pick, PoolView, Refusal, Repeat, TargetId, Time, hash_parts,
+};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::http::response::Parts;
@@ -57,6 +59,9 @@
     bound: u32,
     place: u32,
     fetch: bool,
+    pool: PoolView,
+    /// Other requests that the target held by its own count.
+    held: Option<u32>,
     miss: Option<&'static str>,
 }
 
@@ -160,6 +165,7 @@
                 }
             };
             let opened = self.open(&pick).await;
+            self.note_held(&pick, &opened);
             let missed = match opened {
                 Ok(opened) if self.is_stream(&opened) => {
                     match relay::begin(self, opened, held).await {
@@ -202,8 +208,12 @@
             bound: pick.bound,
             place: pick.place,
             fetch: pick.fetch.is_some(),
+            pool: pick.pool,
+            held: None,
             miss: None,
         });
+        let metrics = &self.gateway.metrics;
+        metrics.count("known_loads", against(pick.load, pick.limit));
         let held = Held::new(&self.gateway, pick.lease.clone());
         Ok((pick, held))
     }
@@ -271,7 +281,7 @@
     /// Collects a whole answer. A failure that another target may not have is
     /// kept and counts as a miss.
     async fn whole(&mut self, opened: Opened, held: Held) -> Result<Response<Outlet>, Miss> {
-        let Opened { answer, driver } = opened;
+        let Opened { answer, driver, .. } = opened;
         let (parts, body) = answer.into_parts();
         let collected = exchange::collect(body, ANSWER_MAX);
         let collected = tokio::time::timeout(self.left(), collected).await;
@@ -328,6 +338,19 @@
         Some(self.give_up(&word, full))
     }
 
+    /// Notes what a target that answered held besides, by its own count.
+    pub(crate) fn note_held(&mut self, pick: &Pick, opened: &Result<Opened, Miss>) {
+        let held = opened.as_ref().ok().and_then(|opened| opened.held);
+        let Some(others) = held.map(|held| held.saturating_sub(1)) else {
+            return;
+        };
+        let metrics = &self.gateway.metrics;
+        metrics.count("target_loads", against(others, pick.limit));
+        if let Some(note) = self.notes.last_mut() {
+            note.held = Some(others);
+        }
+    }
+
     /// Notes how the last attempt was missed.
     pub(crate) fn note_miss(&mut self, miss: &Miss) {
         self.gateway.metrics.count("misses", miss.word());
@@ -389,6 +412,11 @@
     }
 }
 
+/// Whether a load passes the limit by the pool's mean, as a word for metrics.
+fn against(load: u32, limit: u32) -> &'static str {
+    if load > limit { "over" } else { "within" }
+}
+
 fn retry_after() -> f64 {
     rand::rng().random_range(RETRY_AFTER)
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -79,7 +79,7 @@
 
 impl Source {
     fn new(opened: Opened, held: Held) -> (hyper::http::response::Parts, Source) {
-        let Opened { answer, driver } = opened;
+        let Opened { answer, driver, .. } = opened;
         let (parts, body) = answer.into_parts();
         let source = Source {
             body,
@@ -293,6 +293,7 @@
             let limit = self.journey.left();
             let opened = self.journey.open_after(&pick, after, limit).await;
             self.journey.tried.push(pick.lease.target.clone());
+            self.journey.note_held(&pick, &opened);
             match opened {
                 Ok(opened) if opened.answer.status().is_success() => {
                     self.journey.gateway.metrics.count("resumes", miss.word());
