--- a/crates/decision/tests/heavy.rs
+++ b/crates/decision/tests/heavy.rs
@@ -1,8 +1,8 @@
 //! Where work goes under heavy loads, with loads of others that are told late.
 
 use decision::{
-    Catalog, Ending, Lease, Need, Router, RouterBounds, ServiceId, ServiceSpec, Stage, TargetEntry,
-    TargetId, Work, rank,
+    Catalog, DomainId, Ending, Lease, Need, Router, RouterBounds, ServiceId, ServiceSpec, Stage,
+    TargetEntry, TargetId, Work, rank,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -13,6 +13,10 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Steps after which the loads of the others are told again.
 const TELL: u64 = 20;
+/// Seconds over which the operators count requests above the limit.
+const WINDOW: usize = 5;
+/// Failure domains.
+const DOMAINS: u16 = 3;
 /// Steps that they are old when they arrive: two hops of pulses.
 const LAG: usize = 40;
 
@@ -27,12 +31,74 @@
     /// Share of the requests that are about one subject.
     hot: f64,
     seconds: u64,
+    /// What leaves targets of the pool out from a third of the time on.
+    change: Change,
+}
+
+/// What leaves targets out of those that take requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Change {
+    None,
+    /// One of three failure domains is evacuated and later taken back cold.
+    Evacuation,
+    /// A quarter of the targets drain.
+    Drain,
+    /// A third of the targets turn cold, and stay so.
+    Cold,
+    /// A failure domain is evacuated while targets of the others drain.
+    EvacuationAndDrain,
+}
+
+impl Change {
+    /// Changes what all routers know of the targets.
+    fn begin(self, now: Duration, routers: &mut [Router], targets: u16) {
+        let is_out = matches!(self, Change::Evacuation | Change::EvacuationAndDrain);
+        for router in routers {
+            router.evacuate(&domain(0), is_out);
+            for number in 0..targets {
+                let changed = match self {
+                    Change::Drain if number % 4 == 0 => (Stage::Draining, Duration::ZERO),
+                    Change::EvacuationAndDrain if number % 9 == 1 => {
+                        (Stage::Draining, Duration::ZERO)
+                    }
+                    Change::Cold if number % 3 == 0 => (Stage::Ready, Duration::from_secs(60)),
+                    _ => continue,
+                };
+                let (stage, cold_left) = changed;
+                let changed = TargetEntry {
+                    stage,
+                    cold_left,
+                    ..entry(number)
+                };
+                router.target(now, &id(number), Some(changed));
+            }
+        }
+    }
+
+    /// Takes an evacuated domain back, cold.
+    fn end(self, now: Duration, routers: &mut [Router], targets: u16) {
+        if self != Change::Evacuation {
+            return;
+        }
+        for router in routers {
+            router.evacuate(&domain(0), false);
+            for number in (0..targets).step_by(DOMAINS.into()) {
+                let cold = TargetEntry {
+                    cold_left: Duration::from_secs(3),
+                    ..entry(number)
+                };
+                router.target(now, &id(number), Some(cold));
+            }
+        }
+    }
 }
 
 #[derive(Debug)]
 struct Seen {
     /// Share of requests sent to a target above twice the mean and three.
     over: f64,
+    /// Highest such share in [`WINDOW`].
+    worst: f64,
     /// Share of requests at the first target in their subject's order.
     home: f64,
 }
@@ -44,9 +110,17 @@
     let mut running: VecDeque<(Duration, usize, Lease)> = VecDeque::new();
     let mut real: BTreeMap<TargetId, u32> = BTreeMap::new();
     let mut told: VecDeque<Vec<Work>> = VecDeque::new();
-    let (mut sent, mut over, mut home) = (0_u32, 0_u32, 0_u32);
+    let (mut sent, mut home) = (0_u32, 0_u32);
+    // Requests of each second, and those sent to a target over the limit.
+    let mut seconds = vec![(0_u32, 0_u32); load.seconds as usize];
     for step in 0..load.seconds * 100 {
         let now = STEP * step as u32;
+        if step == load.seconds * 33 {
+            load.change.begin(now, &mut routers, load.targets);
+        }
+        if step == load.seconds * 75 {
+            load.change.end(now, &mut routers, load.targets);
+        }
         running.retain(|(end, instance, lease)| {
             if *end <= now {
                 routers[*instance].ended(now, lease, Ending::Whole);
@@ -84,7 +158,9 @@
             let is_warm = step > load.seconds * 30;
             if is_warm {
                 sent += 1;
-                over += u32::from(f64::from(*held) > 2.0 * mean + 3.0);
+                let (all, over) = &mut seconds[(step / 100) as usize];
+                *all += 1;
+                *over += u32::from(f64::from(*held) > 2.0 * mean + 3.0);
                 let names = (0..load.targets).map(id).collect::<Vec<_>>();
                 let first = rank(subject, names.iter().map(|n| (n.as_str(), 1)))[0];
                 home += u32::from(first == pick.lease.target);
@@ -95,8 +171,15 @@
             running.push_back((end, instance, pick.lease));
         }
     }
+    let share = |seconds: &[(u32, u32)]| {
+        let sum = |(all, over), &(a, o)| (all + a, over + o);
+        let (all, over) = seconds.iter().fold((0, 0), sum);
+        f64::from(over) / f64::from(all.max(1))
+    };
+    let warm = &seconds[(load.seconds * 3 / 10) as usize..];
     Seen {
-        over: f64::from(over) / f64::from(sent),
+        over: share(warm),
+        worst: warm.windows(WINDOW).map(share).fold(0.0, f64::max),
         home: f64::from(home) / f64::from(sent),
     }
 }
@@ -127,26 +210,35 @@
     });
     let mut catalog = Catalog::default();
     catalog.version = 1;
-    catalog
-        .services
-        .insert("pool".into(), ServiceSpec::default());
+    let spec = ServiceSpec {
+        cold_time: Duration::from_secs(3),
+        cold_rate: 18.0,
+    };
+    catalog.services.insert("pool".into(), spec);
     router.configure(catalog);
     router.share_of(load.instances, position);
     for number in 0..load.targets {
-        let entry = TargetEntry {
-            service: "pool".into(),
-            address: ([10, 0, 0, 1], number).into(),
-            domain: "one".into(),
-            slots: 64,
-            stage: Stage::Ready,
-            cold_left: Duration::ZERO,
-            born: 1,
-        };
-        router.target(Duration::ZERO, &id(number), Some(entry));
+        router.target(Duration::ZERO, &id(number), Some(entry(number)));
     }
     router
 }
 
+fn domain(number: u16) -> DomainId {
+    format!("d{}", number % DOMAINS).into()
+}
+
+fn entry(number: u16) -> TargetEntry {
+    TargetEntry {
+        service: "pool".into(),
+        address: ([10, 0, 0, 1], number).into(),
+        domain: domain(number),
+        slots: 64,
+        stage: Stage::Ready,
+        cold_left: Duration::ZERO,
+        born: 1,
+    }
+}
+
 /// The operators' sizes of today and of the grown fleets.
 const FLEETS: [(usize, u16, f64, u64); 3] = [
     (13, 12, 110.0, 320),
@@ -165,6 +257,7 @@
             subjects,
             hot,
             seconds: 12,
+            change: Change::None,
         })
         .into_iter()
 }
@@ -191,3 +284,34 @@
         assert!(seen.home > 0.8, "{instances} instances: {seen:?}");
     }
 }
+
+// Guards against engines loaded past the multiple of their pool's mean while
+// targets that take no requests are left out of the mean (incident LIMIT).
+#[test]
+fn a_pool_with_targets_left_out_keeps_to_the_multiple_of_its_whole_mean() {
+    let changes = [
+        Change::None,
+        Change::Evacuation,
+        Change::Drain,
+        Change::Cold,
+        Change::EvacuationAndDrain,
+    ];
+    let mut broken = Vec::new();
+    for change in changes {
+        for load in [0.0, 0.15, 0.3].into_iter().flat_map(loads) {
+            let load = Load {
+                seconds: 24,
+                change,
+                ..load
+            };
+            let (instances, hot) = (load.instances, load.hot);
+            let seen = play(&load, 7);
+            println!("{change:?}, {instances} instances, {hot} hot: {seen:?}");
+            // Half of the 3 in 100 that the operators allow in five seconds.
+            if seen.worst >= 0.015 {
+                broken.push((change, instances, hot, seen));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
