Bound targets by the mean of the whole pool

Cause: the bound was a multiple of the mean over the targets that may take the request. Those evacuated, draining or cold past their share left that mean and stay in the operators'. With a third out, 1.7 times one is 2.55 of the other. Change: the mean is over all targets of the service but those set aside for failures, which are no calm matter. It leaves less room, so that loads told late matter more: in a crowded pool they regress to the mean, what this instance has above its own mean counts for what others have not told yet, and the slack is one less. Spreading of hot subjects uses the same room. Why it works: the bound can't pass 0.85 of the operators' multiple of their own mean, whatever is left out; the rest is the margin for 0.4 to 0.6 s of lag.

--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -1,5 +1,6 @@
 //! Choice of a target for one attempt.
 
+use super::bounds::Bounds;
 use super::roster::{Lease, TargetState};
 use super::{Refusal, Router};
 use crate::catalog::Stage;
@@ -10,12 +11,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Shares of the load multiple between which a request's bound is drawn. The
-/// loads of others are told late: with one bound for all, every instance sends
-/// to a target until it hears that the target is full.
-const BOUND_SHARES: (f64, f64) = (0.6, 0.85);
-/// Requests above the multiple of the mean that a target may have.
-const BOUND_SLACK: f64 = 2.0;
 /// Requests above the multiple of the mean that the operators allow.
 const LIMIT_SLACK: f64 = 3.0;
 /// Share of a cold target's limit that all instances use together.
@@ -42,11 +37,12 @@
 /// The pool of a service as an instance knew it when it chose a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct PoolView {
-    /// Targets of the service, whether they take requests or not.
+    /// Targets of the service, whether they take requests or not, but for those
+    /// that are set aside because they fail.
     pub targets: u32,
     /// Targets that could take the request.
     pub usable: u32,
-    /// Requests at all targets of the service, by all instances.
+    /// Requests at these targets, by all instances.
     pub load: u32,
     /// Milliseconds since the work of the other instances was told; `None`
     /// where nothing of it is known.
@@ -75,19 +71,21 @@
     pub limit: u32,
 }
 
-type Candidate<'a> = (&'a TargetId, &'a TargetState);
+pub(super) type Candidate<'a> = (&'a TargetId, &'a TargetState);
 
 pub(super) fn choose(router: &mut Router, now: Time, need: &Need<'_>) -> Result<Pick, Refusal> {
     let usable = usable(router, now, need);
     if usable.is_empty() {
         return Err(Refusal::NoTarget);
     }
-    let bound = bound(router, &usable, need.hash);
     let pool = pool_view(router, now, need.service, usable.len());
+    let bounds = Bounds::new(router.bounds.load_multiple, &pool, &usable);
+    let bound = bounds.draw(need.hash);
     let found = match need.subject {
         Some(subject) => {
-            let spread = spread(router, now, &usable, subject);
-            by_subject(&usable, subject, bound, need.hash, spread)
+            let running = router.subjects.running(now, subject);
+            let spread = bounds.spread(running);
+            by_subject(&usable, subject, &bounds, bound, need.hash, spread)
         }
         None => least_loaded(&usable, need.hash).map(|id| (id, 0)),
     };
@@ -118,6 +116,7 @@
 
 fn pool_view(router: &Router, now: Time, service: &ServiceId, usable: usize) -> PoolView {
     let all = router.roster.of_service(service);
+    let all = all.filter(|(_, s)| !s.is_aside(now));
     let (targets, load) = all.fold((0, 0), |(n, load), (_, s)| (n + 1, load + s.load()));
     let age = router.others_at.map(|at| now.saturating_sub(at));
     PoolView {
@@ -192,54 +191,35 @@
         .is_none_or(|sent| now.saturating_sub(sent) >= gap)
 }
 
-/// Requests that a target may have for this one to join them, from the mean of
-/// the pool.
-fn bound(router: &Router, usable: &[Candidate<'_>], hash: u64) -> u32 {
-    let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
-    let mean = f64::from(total + 1) / usable.len() as f64;
-    let drawn = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-    let (least, most) = BOUND_SHARES;
-    let multiple = router.bounds.load_multiple * (least + drawn * (most - least));
-    (mean * multiple + BOUND_SLACK).ceil() as u32
-}
-
-/// Targets over which a subject is spread: as many as bear what all instances
-/// have of it, beside the load that they have anyway.
-///
-/// A subject with much of the traffic is spread ahead of the bound: loads told
-/// late would let all instances fill one target after the other past it.
-fn spread(router: &Router, now: Time, usable: &[Candidate<'_>], subject: Subject) -> usize {
-    let running = router.subjects.running(now, subject);
-    let total: u32 = usable.iter().map(|(_, s)| s.load()).sum();
-    let mean = f64::from(total) / usable.len() as f64;
-    let (least, _) = BOUND_SHARES;
-    let room = mean * (router.bounds.load_multiple * least - 1.0) + BOUND_SLACK;
-    (running / room.max(1.0)).ceil().max(1.0) as usize
-}
-
 /// First target in the prompt's order that is below the bound, or else the
 /// least loaded, with its place in the order. Requests are spread over the
 /// first `spread` of the order.
 fn by_subject<'a>(
     usable: &[Candidate<'a>],
     subject: Subject,
+    bounds: &Bounds,
     bound: u32,
     hash: u64,
     spread: usize,
 ) -> Option<(&'a TargetId, u32)> {
+    let loads: BTreeMap<&str, (Candidate<'a>, f64)> = usable
+        .iter()
+        .map(|c| (c.0.as_str(), (*c, bounds.expected(c.1))))
+        .collect();
+    let load = |id: &str| loads.get(id).map_or(f64::MAX, |(_, load)| *load);
     let names = usable.iter().map(|(id, _)| (id.as_str(), 1));
     let mut order: Vec<(usize, &str)> = rank(subject, names).into_iter().enumerate().collect();
     let spread = spread.min(order.len()).max(1);
     order[..spread].rotate_left((hash % spread as u64) as usize);
-    let loads: BTreeMap<&str, Candidate<'a>> = usable.iter().map(|c| (c.0.as_str(), *c)).collect();
-    let below = order.iter().find_map(|(place, id)| {
-        let (id, state) = loads.get(id)?;
-        (state.load() < bound).then_some((*id, *place as u32))
-    });
-    below.or_else(|| {
-        let least = usable.iter().min_by_key(|(_, s)| s.load())?;
-        Some((least.0, usable.len() as u32))
-    })
+    let below = order.iter().find(|(_, id)| load(id) < f64::from(bound));
+    let (place, id) = match below {
+        Some((place, id)) => (*place, *id),
+        None => (
+            usable.len(),
+            usable.iter().min_by_key(|(_, s)| s.load())?.0.as_str(),
+        ),
+    };
+    Some((loads.get(id)?.0.0, place as u32))
 }
 
 fn least_loaded<'a>(usable: &[Candidate<'a>], hash: u64) -> Option<&'a TargetId> {
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -1,5 +1,6 @@
 //! Where a caller's request goes: admission, choice of a target, retries.
 
+mod bounds;
 mod choose;
 mod freshness;
 mod roster;
--- a/crates/decision/tests/heavy.rs
+++ b/crates/decision/tests/heavy.rs
@@ -285,33 +285,76 @@
     }
 }
 
-// Guards against engines loaded past the multiple of their pool's mean while
-// targets that take no requests are left out of the mean (incident LIMIT).
-#[test]
-fn a_pool_with_targets_left_out_keeps_to_the_multiple_of_its_whole_mean() {
-    let changes = [
-        Change::None,
-        Change::Evacuation,
-        Change::Drain,
-        Change::Cold,
-        Change::EvacuationAndDrain,
-    ];
+/// Fleets of today's size.
+const TODAY: std::ops::Range<usize> = 0..2;
+/// The grown fleet.
+const GROWN: std::ops::Range<usize> = 2..3;
+
+/// Plays a change of the pool at a fleet's size, with and without a subject
+/// that has much of the traffic, and holds each five seconds to half of the
+/// 3 in 100 that the operators allow.
+fn keeps_to_the_whole_mean(change: Change, fleets: std::ops::Range<usize>) {
     let mut broken = Vec::new();
-    for change in changes {
-        for load in [0.0, 0.15, 0.3].into_iter().flat_map(loads) {
+    for hot in [0.0, 0.15, 0.3] {
+        let loads = loads(hot).skip(fleets.start).take(fleets.len());
+        for load in loads {
             let load = Load {
                 seconds: 24,
                 change,
                 ..load
             };
-            let (instances, hot) = (load.instances, load.hot);
             let seen = play(&load, 7);
-            println!("{change:?}, {instances} instances, {hot} hot: {seen:?}");
-            // Half of the 3 in 100 that the operators allow in five seconds.
+            println!(
+                "{change:?}, {} instances, {hot} hot: {seen:?}",
+                load.instances
+            );
             if seen.worst >= 0.015 {
-                broken.push((change, instances, hot, seen));
+                broken.push((load.instances, hot, seen));
             }
         }
     }
-    assert!(broken.is_empty(), "{broken:#?}");
+    assert!(broken.is_empty(), "{change:?}: {broken:#?}");
+}
+
+// The tests below guard against engines loaded past the multiple of their
+// pool's mean while targets take no requests (incident of 2026-12-04, LIMIT).
+
+// Guards against LIMIT where all targets take requests.
+#[test]
+fn a_whole_pool_keeps_to_the_multiple_of_its_mean() {
+    keeps_to_the_whole_mean(Change::None, TODAY);
+    keeps_to_the_whole_mean(Change::None, GROWN);
+}
+
+// Guards against LIMIT while a failure domain is out and once it returns cold.
+#[test]
+fn a_pool_with_a_domain_out_keeps_to_the_multiple_of_its_whole_mean() {
+    keeps_to_the_whole_mean(Change::Evacuation, TODAY);
+}
+
+// Guards against LIMIT in a grown fleet while a failure domain is out.
+#[test]
+fn a_grown_pool_with_a_domain_out_keeps_to_the_multiple_of_its_whole_mean() {
+    keeps_to_the_whole_mean(Change::Evacuation, GROWN);
+}
+
+// Guards against LIMIT while targets drain.
+#[test]
+fn a_pool_with_draining_targets_keeps_to_the_multiple_of_its_whole_mean() {
+    keeps_to_the_whole_mean(Change::Drain, TODAY);
+    keeps_to_the_whole_mean(Change::Drain, GROWN);
+}
+
+// Guards against LIMIT while targets are cold and bear little.
+#[test]
+fn a_pool_with_cold_targets_keeps_to_the_multiple_of_its_whole_mean() {
+    keeps_to_the_whole_mean(Change::Cold, TODAY);
+    keeps_to_the_whole_mean(Change::Cold, GROWN);
+}
+
+// Guards against LIMIT while nearly half of the pool takes no requests.
+#[test]
+fn a_pool_half_left_out_keeps_to_the_multiple_of_its_whole_mean() {
+    keeps_to_the_whole_mean(Change::EvacuationAndDrain, TODAY);
+    keeps_to_the_whole_mean(Change::EvacuationAndDrain, GROWN);
 }
