Give up answers without end before they fill the memory

Callers of a target in trouble that sends bytes without end waited for their time limit and got 504, and 64 such answers at once could make an instance hold over twice its machine's memory, ending every other request with it. Cause: interim answers were read for as long as they came; an event that the caller had already ended the silence of its stream; each body could hold 8 MB and each unfinished event 1 MB, with no bound over all of them. The same for calls to the store, which go through the same exchange. Why it works: every byte read before an answer is passed on is counted against one bound or the other, and the connection is closed where it is reached.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -4,14 +4,22 @@
 //! closes its connection, which cancels the call, and a connection that has
 //! gone silent holds up one call and no more.
 
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Most bytes of the head of an answer.
+const HEAD_MAX: usize = 64 << 10;
+/// Most interim answers before the final one.
+const INTERIM_MAX: u32 = 16;
 
 /// Result with this package's [`Failure`].
 pub type Result<T> = std::result::Result<T, Failure>;
@@ -61,7 +69,9 @@
         Err(_) => return Err(unsent(true, &"no connection in time")),
     };
     tcp.set_nodelay(true).map_err(|e| unsent(false, &e))?;
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(tcp));
+    let handshake = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(HEAD_MAX)
+        .handshake(TokioIo::new(tcp));
     let (sender, connection) = handshake.await.map_err(|e| unsent(false, &e))?;
     Ok(Sender { sender, connection })
 }
@@ -90,28 +100,69 @@
     /// Fails with [`Failure::Lost`] where no head comes.
     pub async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Driver)> {
+        let flooded = limit_interim(&mut request);
         let connection = self.connection;
         let driver = Driver(tokio::spawn(async move {
             // A connection that ends early shows at the request or its body.
             let _ = connection.await;
         }));
-        let answer = self.sender.send_request(request).await;
+        let answer = tokio::select! {
+            answer = self.sender.send_request(request) => answer,
+            () = flooded.notified() => {
+                return Err(Failure::Lost("too many interim answers".to_owned()));
+            }
+        };
         let answer = answer.map_err(|e| Failure::Lost(e.to_string()))?;
         Ok((answer, driver))
     }
 }
 
+/// Counts the interim answers to a request; the result is notified of the one
+/// over the limit.
+fn limit_interim(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let flooded = Arc::new(Notify::new());
+    let (count, over) = (AtomicU32::new(0), flooded.clone());
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= INTERIM_MAX {
+            over.notify_one();
+        }
+    });
+    flooded
+}
+
 /// Reads a whole body of at most `most` bytes.
 ///
 /// # Errors
 ///
 /// Fails where the body ends early or is larger.
 pub async fn collect(body: Incoming, most: usize) -> Result<Bytes> {
-    let collected = Limited::new(body, most).collect().await;
-    let collected = collected.map_err(|e| Failure::Lost(e.to_string()))?;
-    Ok(collected.to_bytes())
+    collect_while(body, |held| held <= most).await
+}
+
+/// Reads a whole body, for as long as `may_hold` allows so many bytes to be
+/// held.
+///
+/// # Errors
+///
+/// Fails where the body ends early or may not be held.
+pub async fn collect_while(
+    mut body: Incoming,
+    mut may_hold: impl FnMut(usize) -> bool,
+) -> Result<Bytes> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| Failure::Lost(e.to_string()))?;
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        if !may_hold(bytes.len() + part.len()) {
+            return Err(Failure::Lost("the body is too large".to_owned()));
+        }
+        bytes.extend_from_slice(&part);
+    }
+    Ok(bytes.into())
 }
 
 /// Value of a header as text, or an empty string.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! the names on the wire in [`platform`].
 
 mod attempt;
+mod buffers;
 mod clock;
 mod control;
 mod events;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! Streams from targets to callers, event by event.
 
+use crate::Shared;
 use crate::attempt::{Held, Miss, Opened};
+use crate::buffers::Buffer;
 use crate::events::{Event, EventReader};
 use crate::forward::{Counted, Journey};
 use decision::{Ending, Repeat};
@@ -73,12 +75,13 @@
     opened: Option<exchange::Driver>,
     held: Option<Held>,
     reader: EventReader,
+    buffer: Buffer,
     events: VecDeque<Event>,
     is_over: bool,
 }
 
 impl Source {
-    fn new(opened: Opened, held: Held) -> (hyper::http::response::Parts, Source) {
+    fn new(gateway: &Shared, opened: Opened, held: Held) -> (hyper::http::response::Parts, Source) {
         let Opened { answer, driver, .. } = opened;
         let (parts, body) = answer.into_parts();
         let source = Source {
@@ -86,6 +89,7 @@
             opened: Some(driver),
             held: Some(held),
             reader: EventReader::default(),
+            buffer: Buffer::new(gateway),
             events: VecDeque::new(),
             is_over: false,
         };
@@ -109,6 +113,9 @@
                     let events = self.reader.push(&bytes);
                     let events = events.map_err(|e| Miss::Lost(e.to_owned()))?;
                     self.events.extend(events);
+                    if !self.buffer.hold(self.reader.rest().len()) {
+                        return Err(Miss::Lost("an event is too long".to_owned()));
+                    }
                 }
                 Some(Err(e)) => return Err(Miss::Lost(e.to_string())),
                 None => {
@@ -142,7 +149,7 @@
     opened: Opened,
     held: Held,
 ) -> Result<Response<Outlet>, (Box<Journey>, Miss)> {
-    let (parts, mut source) = Source::new(opened, held);
+    let (parts, mut source) = Source::new(&journey.gateway, opened, held);
     let first = tokio::time::timeout(journey.patience(), source.next()).await;
     let first = match first {
         Ok(Ok(first)) => first,
@@ -232,6 +239,8 @@
     /// Passes events on until the part ends.
     async fn relay(&mut self, source: &mut Source, first: Result<Option<Event>, Miss>) -> Part {
         let mut next = first;
+        // Events that the caller has already don't end the silence.
+        let mut heard = self.journey.gateway.now();
         loop {
             let event = match next {
                 Ok(Some(event)) => event,
@@ -245,15 +254,22 @@
                 if self.sender.send(Ok(event.bytes)).await.is_err() {
                     return Part::Left;
                 }
+                heard = self.journey.gateway.now();
             }
             let left = self.journey.left();
             if left.is_zero() {
                 return Part::Late;
             }
-            let silence = self.silence().min(left);
+            let quiet = self.journey.gateway.now().saturating_sub(heard);
+            let silence = self.silence();
+            if !is_new && quiet >= silence {
+                return Part::Missed(Miss::Lost("no new event for too long".to_owned()));
+            }
+            let silence = silence.saturating_sub(quiet).min(left);
             next = tokio::select! {
-                event = source.next() => event,
+                biased;
                 () = self.sender.closed() => return Part::Left,
+                event = source.next() => event,
                 () = tokio::time::sleep(silence) => {
                     if silence == left {
                         return Part::Late;
@@ -297,7 +313,7 @@
             match opened {
                 Ok(opened) if opened.answer.status().is_success() => {
                     self.journey.gateway.metrics.count("resumes", miss.word());
-                    return Some(Source::new(opened, held).1);
+                    return Some(Source::new(&self.journey.gateway, opened, held).1);
                 }
                 Ok(_) => {
                     held.end(Ending::Failed);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,6 +63,8 @@
     pub(crate) requests: Cell<usize>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
+    /// Bytes that answers hold until they are whole.
+    pub(crate) held_bytes: Cell<usize>,
     pub(crate) incarnation: u64,
 }
 
@@ -97,6 +99,7 @@
             phase: tokio::sync::watch::Sender::new(Phase::Serving),
             requests: Cell::new(0),
             connections: Cell::new(0),
+            held_bytes: Cell::new(0),
             incarnation,
             settings: RefCell::new(settings),
         })
