Resume a stream at another target than the one that cut it

Callers of streams that may go on elsewhere saw them cut once and for all although another target was sound: the stream went on at the target that had just broken off, because it is the first in the order of the prompt's subject, and its second attempt, the last one allowed, was lost there too. Cause: a target entered the list of those tried only where no event had come. Change: whatever is missed at a target, no other attempt of the request goes there; one place notes both.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -186,7 +186,7 @@
                     miss
                 }
             };
-            if let Some(response) = self.missed(&pick, &missed) {
+            if let Some(response) = self.missed(&missed) {
                 return response;
             }
         }
@@ -321,9 +321,8 @@
     }
 
     /// Decides what follows a miss: `None` for another attempt.
-    fn missed(&mut self, pick: &Pick, miss: &Miss) -> Option<Response<Outlet>> {
+    fn missed(&mut self, miss: &Miss) -> Option<Response<Outlet>> {
         self.note_miss(miss);
-        self.tried.push(pick.lease.target.clone());
         if !miss.has_not_run() {
             self.runs += 1;
         }
@@ -354,11 +353,12 @@
         }
     }
 
-    /// Notes how the last attempt was missed.
+    /// Notes how the last attempt was missed; no other one goes to its target.
     pub(crate) fn note_miss(&mut self, miss: &Miss) {
         self.gateway.metrics.count("misses", miss.word());
         if let Some(note) = self.notes.last_mut() {
             note.miss = Some(miss.word());
+            self.tried.push(note.target.clone());
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -308,7 +308,6 @@
             let after = self.last;
             let limit = self.journey.left();
             let opened = self.journey.open_after(&pick, after, limit).await;
-            self.journey.tried.push(pick.lease.target.clone());
             self.journey.note_held(&pick, &opened);
             match opened {
                 Ok(opened) if opened.answer.status().is_success() => {
