Take no short gap in the news of entries for an outage

Cause: after two seconds without a proof that the entries are the newest, entries that vanish were taken for lapsed and their targets kept for 2.2 s. But the instances themselves read again only after about two seconds without a hub's proof, so that gaps of that length are ordinary where hubs are behind. All instances took the removal at 22.16 s; two that had read for want of a hub at 20.16 and 22.20 s sent until 24.36 s. Change: only a gap of over 2.4 s holds entries. They lapse after three reports of 1.2 s that fail, and the first may have been due right after the outage began: a shorter one can't make an entry lapse. The rule is in the router now. Test: fails with the 2 s of before. The hold after longer gaps is as it was.

--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -156,10 +156,13 @@
         self.roster.apply(now, id, entry, cold_time);
     }
 
-    /// Keeps targets whose entries vanish until `until`, because the store was
-    /// away and its entries may only have lapsed.
-    pub fn hold_lapsed(&mut self, until: Time) {
-        self.roster.hold_until(until);
+    /// Notes that the copy of the targets' entries was the newest at `at`, and
+    /// `before` that at `before`. After a gap in which entries may have lapsed,
+    /// targets whose entries vanish are kept for a while.
+    pub fn entries_verified(&mut self, now: Time, before: Option<Time>, at: Time) {
+        if before.is_some_and(|b| at.saturating_sub(b) > LAPSE_MIN) {
+            self.roster.hold_until(now + LAPSE_GRACE);
+        }
     }
 
     /// Forgets targets whose entries have not come back in time.
@@ -334,6 +337,12 @@
     }
 }
 
+/// Shortest outage of the store in which an entry can lapse: it does so after
+/// three intervals of 1.2 s in which its target reports nothing, and the target
+/// may have reported one of them before.
+const LAPSE_MIN: Duration = Duration::from_millis(2_400);
+/// Time for which lapsed entries may come back after an outage.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 /// Time after the start of the process at which the fleet is known.
 const SETTLED: Duration = Duration::from_secs(3);
 /// Share of the retry budget that is used: requests that callers gave up and
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -313,25 +313,39 @@
 #[test]
 fn entries_that_lapsed_in_an_outage_may_come_back() {
     let mut router = router(2);
-    router.hold_lapsed(SECOND * 2);
-    router.target(SECOND, &id(0), None);
-    router.target(SECOND, &id(1), None);
-    assert!(router.choose(SECOND, &prompt(1)).is_ok());
-    router.target(SECOND, &id(1), Some(entry(1, Duration::ZERO)));
-    assert_eq!(router.sweep(SECOND * 2), [id(0)]);
+    let back = SECOND * 4;
+    router.verified(back);
+    router.entries_verified(back, Some(Time::ZERO), back);
+    router.target(back + SECOND, &id(0), None);
+    router.target(back + SECOND, &id(1), None);
+    assert!(router.choose(back + SECOND, &prompt(1)).is_ok());
+    router.target(back + SECOND, &id(1), Some(entry(1, Duration::ZERO)));
+    let over = back + Duration::from_millis(2_200);
+    assert_eq!(router.sweep(over), [id(0)]);
     for subject in 0..10 {
-        let pick = router
-            .choose(SECOND * 2, &prompt(subject))
-            .expect("a target");
+        let pick = router.choose(over, &prompt(subject)).expect("a target");
         assert_eq!(pick.lease.target, id(1));
     }
-    router.target(SECOND * 3, &id(1), None);
+    router.target(back + SECOND * 3, &id(1), None);
     assert_eq!(
-        router.choose(SECOND * 3, &prompt(1)),
+        router.choose(back + SECOND * 3, &prompt(1)),
         Err(Refusal::NoTarget)
     );
 }
 
+// Guards against requests to targets that have left, because a short gap in
+// the news of their entries is taken for an outage of the store (DRAIN).
+#[test]
+fn a_gap_too_short_for_an_entry_to_lapse_keeps_no_target() {
+    let mut router = router(2);
+    let news = Duration::from_millis(2_300);
+    router.entries_verified(news, Some(Time::ZERO), news);
+    router.target(news, &id(0), None);
+    router.target(news, &id(1), None);
+    let left = router.choose(news, &prompt(1));
+    assert_eq!(left, Err(Refusal::NoTarget));
+}
+
 #[test]
 fn a_target_that_starts_again_is_counted_anew() {
     let mut router = router(1);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,10 +27,6 @@
 /// Time after which a call to the store counts as lost: the store answers in
 /// 4 ms, and in 240 ms when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Outage of the store after which entries may have lapsed.
-const OUTAGE: Duration = Duration::from_secs(2);
-/// Time for which lapsed entries may come back after an outage.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
 /// Share of the operators' bound on the age of a configuration up to which
 /// keys are honoured: the store may show its rows a second late.
@@ -145,9 +141,9 @@
         let known = {
             let mut feeds = self.feeds.borrow_mut();
             let before = feeds[table].verified();
-            if table == TARGETS && before.is_some_and(|b| at.saturating_sub(b) > OUTAGE) {
-                let until = self.now() + LAPSE_GRACE;
-                self.router.borrow_mut().hold_lapsed(until);
+            if table == TARGETS {
+                let mut router = self.router.borrow_mut();
+                router.entries_verified(self.now(), before, at);
             }
             feeds[table].verify(version, changed, at)
         };
