Read long events once, and count answers until they are passed on

Callers of an instance whose target sends events without end would lose all that it serves: its process ends once it is over its machine's memory. Cause: each chunk of an event that is not yet whole had all of it searched for its end again, in time by the square of its length. An instance that shares its core fell behind, and what it had not read filled the sockets, which had no bound of their own and count as memory of the process. Three holes beside it: a buffer was counted by its bytes and not by its capacity, up to twice as much; a whole answer, or a failure kept for later, was counted no more once it was whole, though a slow caller holds it up; and the project's own interface bounded each body (8 MB) and not all of them. Change: the reader of events looks at each byte once; connections to targets and to the store have a receive buffer of 64 KB; the count of held bytes moved to exchange::Allowance, takes capacities, lives as long as the bytes and is shared by all answers of a process on both interfaces.

--- a/crates/briargap/src/runner.rs
+++ b/crates/briargap/src/runner.rs
@@ -263,7 +263,7 @@
                 content_type,
                 body,
             }) => {
-                let body: Arc<[u8]> = body.into();
+                let body: Arc<[u8]> = Arc::from(&body[..]);
                 self.whole = Some((status, body.clone()));
                 self.stage(Part::Whole {
                     status,
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -4,6 +4,10 @@
 //! closes its connection, which cancels the call, and a connection that has
 //! gone silent holds up one call and no more.
 
+mod allowance;
+
+pub use allowance::{Allowance, Share};
+
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response};
@@ -13,13 +17,15 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
 /// Most bytes of the head of an answer.
 const HEAD_MAX: usize = 64 << 10;
 /// Most interim answers before the final one.
 const INTERIM_MAX: u32 = 16;
+/// Bytes that a connection may hold before they are read.
+const UNREAD_MAX: u32 = 64 << 10;
 
 /// Result with this package's [`Failure`].
 pub type Result<T> = std::result::Result<T, Failure>;
@@ -36,6 +42,8 @@
     },
     /// The request may have been received.
     Lost(String),
+    /// The request was received, and its answer is larger than may be held.
+    TooLarge,
 }
 
 impl fmt::Display for Failure {
@@ -43,6 +51,7 @@
         match self {
             Failure::Unsent { message, .. } => write!(f, "not sent: {message}"),
             Failure::Lost(message) => write!(f, "lost: {message}"),
+            Failure::TooLarge => f.write_str("the answer is too large"),
         }
     }
 }
@@ -62,8 +71,7 @@
 ///
 /// Fails with [`Failure::Unsent`] where none can be opened.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Sender> {
-    let connecting = tokio::time::timeout(limit, TcpStream::connect(address));
-    let tcp = match connecting.await {
+    let tcp = match tokio::time::timeout(limit, open(address)).await {
         Ok(Ok(tcp)) => tcp,
         Ok(Err(e)) => return Err(unsent(true, &e)),
         Err(_) => return Err(unsent(true, &"no connection in time")),
@@ -76,6 +84,17 @@
     Ok(Sender { sender, connection })
 }
 
+/// Opens a connection whose unread bytes are bounded: they count as memory of
+/// the process.
+async fn open(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(UNREAD_MAX)?;
+    socket.connect(address).await
+}
+
 /// An open connection before its one request.
 pub struct Sender {
     sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
@@ -138,31 +157,61 @@
 ///
 /// Fails where the body ends early or is larger.
 pub async fn collect(body: Incoming, most: usize) -> Result<Bytes> {
-    collect_while(body, |held| held <= most).await
+    collect_while(body, most, |_| true).await.map(Bytes::from)
 }
 
-/// Reads a whole body, for as long as `may_hold` allows so many bytes to be
-/// held.
+/// Reads a whole body of at most `most` bytes, which counts towards `share`
+/// until the last of the result is dropped.
 ///
 /// # Errors
 ///
-/// Fails where the body ends early or may not be held.
-pub async fn collect_while(
+/// Fails where the body ends early or is larger than may be held.
+pub async fn collect_shared(body: Incoming, most: usize, mut share: Share) -> Result<Bytes> {
+    let bytes = collect_while(body, most, |held| share.hold(held)).await?;
+    Ok(Bytes::from_owner(Collected {
+        bytes,
+        _share: share,
+    }))
+}
+
+/// A body and the memory that it takes.
+struct Collected {
+    bytes: Vec<u8>,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Collected {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads a body for as long as `may_hold` allows its buffer's size.
+async fn collect_while(
     mut body: Incoming,
+    most: usize,
     mut may_hold: impl FnMut(usize) -> bool,
-) -> Result<Bytes> {
+) -> Result<Vec<u8>> {
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| Failure::Lost(e.to_string()))?;
         let Ok(part) = frame.into_data() else {
             continue;
         };
-        if !may_hold(bytes.len() + part.len()) {
-            return Err(Failure::Lost("the body is too large".to_owned()));
+        let length = bytes.len() + part.len();
+        if length > most {
+            return Err(Failure::TooLarge);
+        }
+        if length > bytes.capacity() {
+            let capacity = length.next_power_of_two().min(most);
+            if !may_hold(capacity) {
+                return Err(Failure::TooLarge);
+            }
+            bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(&part);
     }
-    Ok(bytes.into())
+    Ok(bytes)
 }
 
 /// Value of a header as text, or an empty string.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -73,12 +73,14 @@
     Failed,
     /// The request may have run.
     Lost(String),
+    /// The request ran, and its answer is larger than may be held.
+    TooLarge,
 }
 
 impl Miss {
     /// Whether it is certain that the request did not run.
     pub(crate) fn has_not_run(&self) -> bool {
-        !matches!(self, Miss::Lost(_) | Miss::Failed)
+        !matches!(self, Miss::Lost(_) | Miss::TooLarge | Miss::Failed)
     }
 
     /// Whether the request arrived at the target, which draws on the budget.
@@ -88,7 +90,7 @@
 
     pub(crate) fn ending(&self) -> Ending {
         match self {
-            Miss::Unsent(_) | Miss::Lost(_) => Ending::Broken,
+            Miss::Unsent(_) | Miss::Lost(_) | Miss::TooLarge => Ending::Broken,
             Miss::Failed => Ending::Failed,
             Miss::Full => Ending::Full,
             Miss::Moved => Ending::Moved,
@@ -102,13 +104,14 @@
             Miss::Moved => "moved",
             Miss::Failed => "failed",
             Miss::Lost(_) => "lost",
+            Miss::TooLarge => "too_large",
         }
     }
 
     pub(crate) fn detail(&self) -> &str {
         match self {
             Miss::Unsent(message) | Miss::Lost(message) => message,
-            Miss::Full | Miss::Moved | Miss::Failed => "",
+            Miss::Full | Miss::Moved | Miss::Failed | Miss::TooLarge => "",
         }
     }
 }
@@ -118,6 +121,7 @@
         match failure {
             Failure::Unsent { message, .. } => Miss::Unsent(message),
             Failure::Lost(message) => Miss::Lost(message),
+            Failure::TooLarge => Miss::TooLarge,
         }
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -21,6 +21,10 @@
 #[derive(Debug, Default)]
 pub struct EventReader {
     bytes: Vec<u8>,
+    /// Start of the last line, whose end has not come.
+    line: usize,
+    /// Bytes that have been searched for that end.
+    searched: usize,
 }
 
 impl EventReader {
@@ -31,38 +35,60 @@
     /// Fails where an event is over its limit of size.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Event>, &'static str> {
         self.bytes.extend_from_slice(bytes);
-        let mut events = Vec::new();
-        while let Some(end) = event_end(&self.bytes) {
-            let rest = self.bytes.split_off(end);
-            let whole = std::mem::replace(&mut self.bytes, rest);
-            events.push(Event {
-                id: event_id(&whole),
-                bytes: whole.into(),
-            });
+        let mut ends = Vec::new();
+        let mut start = 0;
+        while let Some(end) = self.event_end(start) {
+            ends.push(end);
+            start = end;
         }
-        if self.bytes.len() > EVENT_MAX {
+        if self.bytes.len() - start > EVENT_MAX {
             return Err("an event is too long");
         }
-        Ok(events)
+        if ends.is_empty() {
+            return Ok(Vec::new());
+        }
+        let rest = self.bytes.split_off(start);
+        let whole = Bytes::from(std::mem::replace(&mut self.bytes, rest));
+        self.line -= start;
+        self.searched -= start;
+        let starts = std::iter::once(0).chain(ends.iter().copied());
+        let parts = starts
+            .zip(&ends)
+            .map(|(start, end)| whole.slice(start..*end));
+        let events = parts.map(|bytes| Event {
+            id: event_id(&bytes),
+            bytes,
+        });
+        Ok(events.collect())
     }
 
     /// Bytes after the last whole event.
     pub fn rest(&self) -> &[u8] {
         &self.bytes
     }
-}
 
-/// Position after the first blank line, whatever its line ends.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut at = 0;
-    while let Some(end) = bytes[at..].iter().position(|b| *b == b'\n') {
-        let line = &bytes[at..at + end];
-        at += end + 1;
-        if (line.is_empty() || line == b"\r") && at > line.len() + 1 {
-            return Some(at);
+    /// Memory that these bytes take.
+    pub(crate) fn held(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Position after the blank line that ends the event which begins at
+    /// `start`, whatever its line ends. Each byte is looked at once.
+    fn event_end(&mut self, start: usize) -> Option<usize> {
+        while let Some(found) = self.bytes[self.searched..].iter().position(|b| *b == b'\n') {
+            let end = self.searched + found;
+            let line = &self.bytes[self.line..end];
+            let is_blank = line.is_empty() || line == b"\r";
+            let is_first = self.line == start;
+            self.line = end + 1;
+            self.searched = end + 1;
+            if is_blank && !is_first {
+                return Some(end + 1);
+            }
         }
+        self.searched = self.bytes.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,7 +2,6 @@
 
 use crate::Shared;
 use crate::attempt::{self, Call, Held, Miss, Opened};
-use crate::buffers::Buffer;
 use crate::relay::{self, Outlet};
 use decision::{
     Admission, Ending, Need, Pick, PoolView, Refusal, Repeat, TargetId, Time, hash_parts,
@@ -284,9 +283,8 @@
     async fn whole(&mut self, opened: Opened, held: Held) -> Result<Response<Outlet>, Miss> {
         let Opened { answer, driver, .. } = opened;
         let (parts, body) = answer.into_parts();
-        let mut buffer = Buffer::new(&self.gateway);
-        let collected =
-            exchange::collect_while(body, |bytes| bytes <= ANSWER_MAX && buffer.hold(bytes));
+        let memory = self.gateway.memory.share();
+        let collected = exchange::collect_shared(body, ANSWER_MAX, memory);
         let collected = tokio::time::timeout(self.left(), collected).await;
         drop(driver);
         let body = match collected {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,6 @@
 //! the names on the wire in [`platform`].
 
 mod attempt;
-mod buffers;
 mod clock;
 mod control;
 mod events;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,10 +2,10 @@
 
 use crate::Shared;
 use crate::attempt::{Held, Miss, Opened};
-use crate::buffers::Buffer;
 use crate::events::{Event, EventReader};
 use crate::forward::{Counted, Journey};
 use decision::{Ending, Repeat};
+use exchange::{Failure, Share};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming};
@@ -75,7 +75,7 @@
     opened: Option<exchange::Driver>,
     held: Option<Held>,
     reader: EventReader,
-    buffer: Buffer,
+    memory: Share,
     events: VecDeque<Event>,
     is_over: bool,
 }
@@ -89,7 +89,7 @@
             opened: Some(driver),
             held: Some(held),
             reader: EventReader::default(),
-            buffer: Buffer::new(gateway),
+            memory: gateway.memory.share(),
             events: VecDeque::new(),
             is_over: false,
         };
@@ -113,8 +113,8 @@
                     let events = self.reader.push(&bytes);
                     let events = events.map_err(|e| Miss::Lost(e.to_owned()))?;
                     self.events.extend(events);
-                    if !self.buffer.hold(self.reader.rest().len()) {
-                        return Err(Miss::Lost("an event is too long".to_owned()));
+                    if !self.memory.hold(self.reader.held()) {
+                        return Err(Failure::TooLarge.into());
                     }
                 }
                 Some(Err(e)) => return Err(Miss::Lost(e.to_string())),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
     Applied, Feed, FeedAge, FeedNews, FeedRow, Fleet, Listing, Router, RouterBounds, Supply,
     TargetId, Time,
 };
+use exchange::Allowance;
 use platform::StoreClient;
 use platform::documents::{self, OperatorRow};
 use platform::rows::{self, Row};
@@ -59,8 +60,8 @@
     pub(crate) requests: Cell<usize>,
     /// Open connections of callers.
     pub(crate) connections: Cell<usize>,
-    /// Bytes that answers hold until they are whole.
-    pub(crate) held_bytes: Cell<usize>,
+    /// Memory for answers until they are passed on.
+    pub(crate) memory: Allowance,
     pub(crate) incarnation: u64,
 }
 
@@ -95,7 +96,7 @@
             phase: tokio::sync::watch::Sender::new(Phase::Serving),
             requests: Cell::new(0),
             connections: Cell::new(0),
-            held_bytes: Cell::new(0),
+            memory: Allowance::default(),
             incarnation,
             settings: RefCell::new(settings),
         })
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::sse::SseReader;
 use crate::{Attempt, Call, Error, Heard, Poll, PollFuture, Target};
 use decision::Report;
+use exchange::{Allowance, Failure, Share};
 use http_body_util::BodyExt;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -15,12 +16,22 @@
 const POLL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Adapter for engines that speak the chat-completions interface.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct HttpEngine;
+#[derive(Clone, Debug, Default)]
+pub struct HttpEngine {
+    memory: Allowance,
+}
+
+impl HttpEngine {
+    /// Makes an adapter whose answers share the memory of an allowance.
+    pub fn new(memory: Allowance) -> Self {
+        HttpEngine { memory }
+    }
+}
 
 impl Target for HttpEngine {
     fn dispatch(&self, call: Call) -> Attempt {
-        http::start(|heard| run(call, heard))
+        let memory = self.memory.share();
+        http::start(|heard| run(call, memory, heard))
     }
 
     fn poll(&self, address: SocketAddr, since: u64) -> PollFuture {
@@ -40,7 +51,11 @@
     }
 }
 
-async fn run(call: Call, heard: flume::Sender<Heard>) -> std::result::Result<(), Stopped> {
+async fn run(
+    call: Call,
+    mut memory: Share,
+    heard: flume::Sender<Heard>,
+) -> std::result::Result<(), Stopped> {
     let request = http::request(&call)?;
     let sender = http::connect(call.address).await?;
     let _ = heard.send_async(Heard::Left).await;
@@ -65,7 +80,11 @@
             continue;
         };
         let events = reader.push(&bytes);
-        for data in events.map_err(|e| Stopped::After(e.to_owned()))? {
+        let events = events.map_err(|e| Stopped::After(e.to_owned()))?;
+        if !memory.hold(reader.held()) {
+            return Err(Failure::TooLarge.into());
+        }
+        for data in events {
             let is_end = data == END_MARK;
             let said = if is_end { Heard::End } else { event(data) };
             if heard.send_async(said).await.is_err() || is_end {
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -47,6 +47,7 @@
         match failure {
             Failure::Unsent { refused, message } => Stopped::Before { refused, message },
             Failure::Lost(message) => Stopped::After(message),
+            Failure::TooLarge => Stopped::After(failure.to_string()),
         }
     }
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -15,6 +15,7 @@
 pub use sse::SseReader;
 
 use decision::{AttemptId, Report};
+use hyper::body::Bytes;
 use smol_str::SmolStr;
 use snafu::Snafu;
 use std::future::Future;
@@ -81,8 +82,8 @@
         status: u16,
         /// Content type.
         content_type: SmolStr,
-        /// Body.
-        body: Vec<u8>,
+        /// Body, which counts as held until it is dropped.
+        body: Bytes,
     },
     /// The target answered that the request failed there.
     Failed {
--- a/crates/target/src/plain.rs
+++ b/crates/target/src/plain.rs
@@ -2,15 +2,26 @@
 
 use crate::http::{self, Stopped};
 use crate::{Attempt, Call, Error, Heard, PollFuture, Target};
+use exchange::{Allowance, Share};
 use std::net::SocketAddr;
 
 /// Adapter for plain HTTP services.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct HttpService;
+#[derive(Clone, Debug, Default)]
+pub struct HttpService {
+    memory: Allowance,
+}
+
+impl HttpService {
+    /// Makes an adapter whose answers share the memory of an allowance.
+    pub fn new(memory: Allowance) -> Self {
+        HttpService { memory }
+    }
+}
 
 impl Target for HttpService {
     fn dispatch(&self, call: Call) -> Attempt {
-        http::start(|heard| run(call, heard))
+        let memory = self.memory.share();
+        http::start(|heard| run(call, memory, heard))
     }
 
     /// A plain service reports no load.
@@ -24,7 +35,7 @@
     }
 }
 
-async fn run(call: Call, heard: flume::Sender<Heard>) -> Result<(), Stopped> {
+async fn run(call: Call, memory: Share, heard: flume::Sender<Heard>) -> Result<(), Stopped> {
     let request = http::request(&call)?;
     let sender = http::connect(call.address).await?;
     let _ = heard.send_async(Heard::Left).await;
@@ -44,11 +55,11 @@
     let status = answer.status().as_u16();
     let content_type = exchange::header(&answer, "content-type").into();
     // A body that ends before its stated length is an error here.
-    let body = exchange::collect(answer.into_body(), http::BODY_MAX).await?;
+    let body = exchange::collect_shared(answer.into_body(), http::BODY_MAX, memory).await?;
     let whole = Heard::Whole {
         status,
         content_type,
-        body: body.to_vec(),
+        body,
     };
     let _ = heard.send_async(whole).await;
     Ok(())
--- a/crates/target/src/sse.rs
+++ b/crates/target/src/sse.rs
@@ -36,6 +36,11 @@
         Ok(events)
     }
 
+    /// Memory that the event which is not yet whole takes.
+    pub(crate) fn held(&self) -> usize {
+        self.line.capacity() + self.data.capacity()
+    }
+
     fn end_line(&mut self) -> Result<Option<String>, &'static str> {
         let mut line = std::mem::take(&mut self.line);
         if line.last() == Some(&b'\r') {
