Show that a silent hub keeps the pool below its limit

The postmortem of LIMIT listed the end of a hub as suspected: the work of the others counts as none from 1.5 s on. With the fleet itself in the test, it can be played: the hub of a failure domain neither hears nor says anything.

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -164,35 +164,37 @@
         if self.is_hub(now) {
             return self.sum(now, |_| true);
         }
-        let fresh = self.others.as_ref();
-        let fresh = fresh.filter(|(at, _)| now.saturating_sub(*at) < WORK_AGE);
+        let fresh = self.others.as_ref().filter(|(at, _)| is_fresh(*at, now));
         fresh.map(|(_, work)| work.clone()).unwrap_or_default()
     }
 
     /// When the oldest work in [`Fleet::others`] was told; `None` where none is
     /// known.
     pub fn others_at(&self, now: Time) -> Option<Time> {
-        let is_fresh = |at: &Time| now.saturating_sub(*at) < WORK_AGE;
         if self.is_hub(now) {
             let worked = self.peers.values().filter_map(|p| p.worked);
-            return worked.filter(is_fresh).min();
+            return worked.filter(|at| is_fresh(*at, now)).min();
         }
-        self.others.as_ref().map(|(at, _)| *at).filter(is_fresh)
+        let told = self.others.as_ref().map(|(at, _)| *at);
+        told.filter(|at| is_fresh(*at, now))
     }
 
     fn sum(&self, now: Time, wanted: impl Fn(&Peer) -> bool) -> Work {
-        let is_fresh = |peer: &Peer| {
-            let worked = peer.worked;
-            worked.is_some_and(|at| now.saturating_sub(at) < WORK_AGE)
-        };
         let mut sum = Work::default();
-        for peer in self.peers.values().filter(|p| wanted(p) && is_fresh(p)) {
-            sum.add(&peer.work);
+        for peer in self.peers.values().filter(|p| wanted(p)) {
+            if peer.worked.is_some_and(|at| is_fresh(at, now)) {
+                sum.add(&peer.work);
+            }
         }
         sum
     }
 }
 
+/// Whether work that was told at `at` still counts.
+fn is_fresh(at: Time, now: Time) -> bool {
+    now.saturating_sub(at) < WORK_AGE
+}
+
 fn life_tag(id: &str, incarnation: Incarnation) -> Tag {
     counts::tag(&[id.as_bytes(), &incarnation.to_le_bytes()])
 }
--- a/crates/decision/tests/heavy.rs
+++ b/crates/decision/tests/heavy.rs
@@ -45,6 +45,8 @@
     Cold,
     /// A failure domain is evacuated while targets of the others drain.
     EvacuationAndDrain,
+    /// The hub of a failure domain falls silent, and its callers go elsewhere.
+    SilentHub,
 }
 
 impl Change {
@@ -115,6 +117,9 @@
         let now = STEP * step as u32;
         if step == load.seconds * 33 {
             load.change.begin(now, &mut routers, load.targets);
+            if load.change == Change::SilentHub {
+                mesh.silence_hub(now);
+            }
         }
         if step == load.seconds * 75 {
             load.change.end(now, &mut routers, load.targets);
@@ -136,7 +141,7 @@
             } else {
                 rng.random_range(0..load.subjects)
             };
-            let instance = rng.random_range(0..load.instances);
+            let instance = mesh.entry(rng.random_range(0..load.instances));
             let need = Need {
                 service: &pool,
                 subject: Some(subject),
@@ -183,6 +188,8 @@
     places: BTreeMap<InstanceId, usize>,
     /// Next step of each instance, and whether it tells its domain.
     due: Vec<(Duration, bool)>,
+    /// Instance that neither hears nor says anything.
+    silent: Option<usize>,
     /// Pulses under way: when each arrives, from whom and at whom.
     sent: Vec<(Duration, usize, usize, Pulse)>,
 }
@@ -202,11 +209,27 @@
             fleets: fleets.collect(),
             places: places.collect(),
             due: all.iter().map(|_| (start(&mut rng), false)).collect(),
+            silent: None,
             sent: Vec::new(),
             rng,
         }
     }
 
+    /// Silences the hub of the first failure domain.
+    fn silence_hub(&mut self, now: Duration) {
+        let mut fleets = self.fleets.iter();
+        self.silent = fleets.position(|f| f.me().domain == domain(0) && f.is_hub(now));
+        assert!(self.silent.is_some(), "a hub");
+    }
+
+    /// Instance that a caller reaches who has picked this one.
+    fn entry(&self, place: usize) -> usize {
+        match self.silent {
+            Some(silent) if silent == place => (place + 1) % self.fleets.len(),
+            _ => place,
+        }
+    }
+
     fn late(&mut self) -> Duration {
         LATE.mul_f64(self.rng.random_range(0.0..1.0))
     }
@@ -215,6 +238,12 @@
     fn run(&mut self, now: Duration, routers: &mut [Router]) {
         let arrived = self.sent.extract_if(.., |(at, ..)| *at <= now);
         for (_, from, to, pulse) in arrived.collect::<Vec<_>>() {
+            if self
+                .silent
+                .is_some_and(|silent| silent == from || silent == to)
+            {
+                continue;
+            }
             let is_total = pulse.scope == Scope::All;
             let from = self.fleets[from].me().id.clone();
             self.fleets[to].pulse(now, &from, pulse);
@@ -424,6 +453,13 @@
     keeps_to_the_whole_mean(Change::Cold, ALL);
 }
 
+// Guards against LIMIT while the loads of a failure domain are told by nobody,
+// until it has another hub.
+#[test]
+fn a_pool_keeps_to_the_multiple_of_its_mean_after_a_hub_falls_silent() {
+    keeps_to_the_whole_mean(Change::SilentHub, ALL);
+}
+
 // Guards against LIMIT while nearly half of the pool takes no requests.
 #[test]
 fn a_pool_half_left_out_keeps_to_the_multiple_of_its_whole_mean() {
