Free the target of a caller that has stopped to read

Callers found targets full that worked for nobody: a caller which keeps its connection open and reads nothing held its target's slot, without an end, past its own time limit and the route's. Found by reading while the bytes that a stream holds were looked at. Cause: the relay of a stream waited for room in its queue with no limit of time, and a connection's writes had none either. Ruled out: the queue between relay and connection; it is bounded, and it is the wait for it that had no end. A caller that has gone is noticed by its closed connection, as before. Change: the relay waits for room no longer than the request has time; a connection that has taken no byte for as long as it may be idle is closed, which frees whole answers that are not read as well.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -85,13 +85,16 @@
 }
 
 /// A connection whose reads fail when a head or the next request takes too
-/// long.
+/// long, and whose writes fail when the caller reads nothing for as long as it
+/// may be idle.
 pub(crate) struct Intake {
     tcp: TcpStream,
     progress: Progress,
     head_time: Duration,
     idle_time: Duration,
     timer: Pin<Box<Sleep>>,
+    /// Since when the caller has taken no byte that waits for it.
+    stalled: Option<Instant>,
 }
 
 impl Intake {
@@ -107,6 +110,7 @@
             head_time,
             idle_time,
             timer: Box::pin(tokio::time::sleep(idle_time)),
+            stalled: None,
         }
     }
 
@@ -123,11 +127,31 @@
         let Some(deadline) = self.deadline() else {
             return Poll::Pending;
         };
+        self.poll_timer(deadline, context).map(Err)
+    }
+
+    fn poll_timer(&mut self, deadline: Instant, context: &mut Context<'_>) -> Poll<io::Error> {
         if self.timer.deadline() != deadline {
             self.timer.as_mut().reset(deadline);
         }
         let passed = self.timer.as_mut().poll(context);
-        passed.map(|()| Err(io::ErrorKind::TimedOut.into()))
+        passed.map(|()| io::ErrorKind::TimedOut.into())
+    }
+
+    /// Passes on what became of a write; fails where none has succeeded for too
+    /// long.
+    fn poll_written(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let since = *self.stalled.get_or_insert_with(Instant::now);
+        let deadline = since + self.idle_time;
+        self.poll_timer(deadline, context).map(Err)
     }
 }
 
@@ -163,7 +187,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(context, bytes)
+        let written = Pin::new(&mut self.tcp).poll_write(context, bytes);
+        self.poll_written(written, context)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -183,6 +208,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.tcp).poll_write_vectored(context, buffers);
+        self.poll_written(written, context)
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -251,8 +251,13 @@
             if is_new {
                 self.last = event.id.or(self.last);
                 self.events += 1;
-                if self.sender.send(Ok(event.bytes)).await.is_err() {
-                    return Part::Left;
+                // A caller that has stopped to read holds its target no longer
+                // than one that reads.
+                let sent = self.sender.send(Ok(event.bytes));
+                match tokio::time::timeout(self.journey.left(), sent).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return Part::Left,
+                    Err(_) => return Part::Late,
                 }
                 heard = self.journey.gateway.now();
             }
