Determine the hubs once for many questions

Change: the silence of the hubs is looked up once for all peers. The hub of each domain is determined once and kept for 10 ms or until an instance changes. A received list of ages without entries is skipped.

--- a/crates/decision/src/fleet/hub.rs
+++ b/crates/decision/src/fleet/hub.rs
@@ -4,7 +4,7 @@
 use crate::hash::{hash_parts, rank, winner};
 use crate::id::{DomainId, InstanceId, Time};
 use crate::members::Listing;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Silence after which an instance no longer counts as live. News of it takes two
@@ -21,20 +21,45 @@
 /// that is gone to be listed as live.
 const MAX_NEWS_AGE: Duration = Duration::from_millis(2_500);
 
-impl Fleet {
-    /// Returns whether an instance runs and accepts callers.
-    pub(super) fn is_live(&self, peer: &Peer, now: Time) -> bool {
-        !peer.listing.starting && self.is_running(peer, now)
+/// Time for which the hubs that were determined are used, unless an instance has
+/// changed in the meantime. It delays the detection of a timeout.
+const HUB_TABLE_LIFETIME: Duration = Duration::from_millis(10);
+
+/// The hub of each failure domain that has one.
+#[derive(Clone, Debug)]
+pub(super) struct HubTable {
+    determined_at: Time,
+    by_domain: BTreeMap<DomainId, InstanceId>,
+}
+
+/// Returns whether a peer runs and is not leaving, as known at `known_until`.
+fn is_running(peer: &Peer, known_until: Time) -> bool {
+    let is_reachable = peer
+        .failed_at
+        .is_none_or(|failed_at| peer.last_heard > failed_at);
+    let silence = known_until.saturating_sub(peer.last_heard);
+    !peer.listing.leaving && is_reachable && silence < LIVE_TIMEOUT
+}
+
+impl Peer {
+    /// Records that the instance was heard from at `at`. Returns whether it may be
+    /// running only since then.
+    pub(super) fn heard(&mut self, now: Time, at: Time) -> bool {
+        let before = self.last_heard;
+        self.last_heard = before.max(at);
+        let was_silent = now.saturating_sub(before) >= LIVE_TIMEOUT / 2;
+        let had_failed = self.failed_at.is_some_and(|f| before <= f && f < at);
+        at > before && (was_silent || had_failed)
     }
+}
 
-    /// Returns whether an instance runs and is not leaving. Unlike a live one, it may
+impl Fleet {
+    /// Returns the peers that run and are not leaving. Unlike live ones, they may
     /// still be starting.
-    pub(super) fn is_running(&self, peer: &Peer, now: Time) -> bool {
-        let is_reachable = peer
-            .failed_at
-            .is_none_or(|failed_at| peer.last_heard > failed_at);
-        let silence = self.known_until(now).saturating_sub(peer.last_heard);
-        !peer.listing.leaving && is_reachable && silence < LIVE_TIMEOUT
+    pub(super) fn running(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        let known_until = self.known_until(now);
+        let peers = self.peers.values();
+        peers.filter(move |p| is_running(p, known_until))
     }
 
     /// Returns the time up to which this instance knows who was heard from.
@@ -54,8 +79,9 @@
     /// does.
     pub fn live(&self, now: Time) -> Vec<&Listing> {
         let me = Some(&self.me).filter(|me| !me.leaving && !me.starting);
-        let others = self.peers.values().filter(|p| self.is_live(p, now));
-        me.into_iter().chain(others.map(|p| &p.listing)).collect()
+        let others = self.running(now).map(|p| &p.listing);
+        let others = others.filter(|l| !l.starting);
+        me.into_iter().chain(others).collect()
     }
 
     /// Returns the number of instances that share the limits, and the position of
@@ -63,9 +89,12 @@
     pub fn share(&self, now: Time) -> (usize, usize) {
         let is_known = |p: &&Peer| now.saturating_sub(p.last_heard) < FORGET_AFTER;
         let ids = self.peers.values().filter(is_known).map(|p| &p.listing.id);
-        let ids: Vec<&InstanceId> = ids.collect();
-        let before = ids.iter().filter(|id| ***id < self.me.id).count();
-        (ids.len() + 1, before)
+        let (mut count, mut before) = (1, 0);
+        for id in ids {
+            count += 1;
+            before += usize::from(*id < self.me.id);
+        }
+        (count, before)
     }
 
     /// Returns the hub of a failure domain: the first by rendezvous hashing of the
@@ -75,18 +104,54 @@
     /// no other live one is known: instances that start together learn of each
     /// other's state late and would all act as hubs.
     pub fn hub(&self, now: Time, domain: &str) -> Option<&Listing> {
-        let live = self.live(now).into_iter().filter(|l| l.domain == domain);
-        let mut candidates: Vec<&Listing> = live.collect();
-        if domain == self.me.domain && candidates.iter().all(|l| l.id == self.me.id) {
+        self.refresh_hubs(now);
+        let hubs = self.hubs.borrow();
+        let id = hubs.as_ref()?.by_domain.get(domain)?;
+        self.listing(id)
+    }
+
+    /// Returns the listing of this instance or of a peer.
+    fn listing(&self, id: &str) -> Option<&Listing> {
+        match self.peers.get(id) {
+            _ if *id == *self.me.id => Some(&self.me),
+            peer => peer.map(|p| &p.listing),
+        }
+    }
+
+    /// Determines the hubs again unless they were determined just now.
+    fn refresh_hubs(&self, now: Time) {
+        let mut hubs = self.hubs.borrow_mut();
+        let is_current = |hubs: &HubTable| {
+            let age = now.checked_sub(hubs.determined_at);
+            age.is_some_and(|age| age < HUB_TABLE_LIFETIME)
+        };
+        if !hubs.as_ref().is_some_and(is_current) {
+            *hubs = Some(self.determine_hubs(now));
+        }
+    }
+
+    fn determine_hubs(&self, now: Time) -> HubTable {
+        let mut candidates: BTreeMap<&DomainId, Vec<&Listing>> = BTreeMap::new();
+        for listing in self.live(now) {
+            candidates.entry(&listing.domain).or_default().push(listing);
+        }
+        let own = candidates.entry(&self.me.domain).or_default();
+        if own.iter().all(|l| l.id == self.me.id) {
             let me = Some(&self.me).filter(|me| !me.leaving);
-            let others = self.peers.values().filter(|p| self.is_running(p, now));
-            let starting = me.into_iter().chain(others.map(|p| &p.listing));
-            candidates = starting.filter(|l| l.domain == domain).collect();
+            let others = self.running(now).map(|p| &p.listing);
+            let others = others.filter(|l| l.domain == self.me.domain);
+            *own = me.into_iter().chain(others).collect();
+        }
+        let hub = |(domain, candidates): (&DomainId, Vec<&Listing>)| {
+            let power = candidates.iter().map(|l| l.power).max()?;
+            let strongest = candidates.iter().filter(|l| l.power == power);
+            let id = winner(domain, strongest.map(|l| &l.id))?;
+            Some((domain.clone(), id.clone()))
+        };
+        HubTable {
+            determined_at: now,
+            by_domain: candidates.into_iter().filter_map(hub).collect(),
         }
-        let power = candidates.iter().map(|l| l.power).max()?;
-        let strongest = candidates.iter().filter(|l| l.power == power);
-        let id = winner(domain, strongest.map(|l| l.id.as_str()))?;
-        candidates.iter().find(|l| l.id == id).copied()
     }
 
     /// Returns whether this instance is the hub of its failure domain. It also acts as
@@ -98,10 +163,11 @@
 
     /// Returns the hubs of all domains that have a live instance.
     pub(super) fn hubs(&self, now: Time) -> Vec<&Listing> {
-        let live = self.live(now);
-        let domains: BTreeSet<&DomainId> = live.iter().map(|l| &l.domain).collect();
-        let hubs = domains.into_iter().filter_map(|d| self.hub(now, d));
-        hubs.collect()
+        self.refresh_hubs(now);
+        let hubs = self.hubs.borrow();
+        let ids = hubs.iter().flat_map(|hubs| hubs.by_domain.values());
+        let hubs = ids.filter_map(|id| self.listing(id));
+        hubs.filter(|hub| !hub.starting).collect()
     }
 
     /// Returns whether this instance is one of the first `count` hubs by rendezvous
@@ -187,10 +253,8 @@
         if !self.is_hub(now) {
             return Vec::new();
         }
-        let domain = self
-            .peers
-            .values()
-            .filter(|p| p.listing.domain == self.me.domain && self.is_running(p, now));
-        domain.map(|p| p.listing.clone()).collect()
+        let running = self.running(now).map(|p| &p.listing);
+        let domain = running.filter(|l| l.domain == self.me.domain);
+        domain.cloned().collect()
     }
 }
--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -30,6 +30,8 @@
 
 use crate::id::{Incarnation, InstanceId, Time};
 use crate::members::Listing;
+use hub::HubTable;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -83,6 +85,8 @@
     reported: VecDeque<(u64, LoadSummary)>,
     /// Load of all other instances from the hub's last pulse, and when it arrived.
     remote: Option<(Time, LoadSummary)>,
+    /// The hubs as determined last; `None` where an instance has changed since.
+    hubs: RefCell<Option<HubTable>>,
 }
 
 impl Fleet {
@@ -97,6 +101,7 @@
             presumed_hub: None,
             reported: VecDeque::new(),
             remote: None,
+            hubs: RefCell::default(),
         }
     }
 
@@ -135,6 +140,7 @@
             listing,
         };
         self.peers.insert(peer.listing.id.clone(), peer);
+        self.hubs.take();
     }
 
     /// Returns the listing of this instance.
@@ -149,7 +155,9 @@
 
     /// Sets whether this instance is starting, as it knows no configuration yet.
     pub fn set_starting(&mut self, starting: bool) {
-        self.me.starting = starting;
+        if std::mem::replace(&mut self.me.starting, starting) != starting {
+            self.hubs.take();
+        }
     }
 
     /// Returns whether another instance is known.
@@ -160,6 +168,7 @@
     /// Marks this instance as leaving.
     pub fn set_leaving(&mut self) {
         self.me.leaving = true;
+        self.hubs.take();
     }
 
     /// Records that an instance can't be reached. It does not count as live until
@@ -168,6 +177,7 @@
         if let Some(peer) = self.peers.get_mut(id) {
             peer.failed_at = Some(now);
             peer.has_records = false;
+            self.hubs.take();
         }
     }
 
--- a/crates/decision/src/fleet/receive.rs
+++ b/crates/decision/src/fleet/receive.rs
@@ -36,13 +36,16 @@
             return FreshnessProofs::new();
         }
         peer.sent_ms = Some(pulse.sent_ms);
-        peer.last_heard = peer.last_heard.max(now);
+        let is_back = peer.heard(now, now);
         peer.last_pulse = Some((now, pulse.scope));
         let age = |c: &CopyStatus| Duration::from_millis(u64::from(c.age_ms));
         let copies = pulse.copies.iter();
         peer.copies_at = copies
             .map(|c| c.as_ref().map(|c| now.saturating_sub(age(c))))
             .collect();
+        if is_back {
+            self.hubs.take();
+        }
         match pulse.load {
             Some(load) if pulse.scope == PulseScope::All => {
                 self.apply_total(now, pulse.echo_ms, load);
@@ -96,13 +99,16 @@
                         leaving,
                         ..record.listing
                     };
-                    if is_newer || peer.listing != listing {
+                    let is_changed = is_newer || peer.listing != listing;
+                    if is_changed {
                         peer.changed_at = now;
                     }
                     peer.tag = incarnation_tag(&id, record.incarnation);
                     peer.listing = listing;
                     peer.incarnation = record.incarnation;
-                    peer.last_heard = peer.last_heard.max(at);
+                    if peer.heard(now, at) || is_changed {
+                        self.hubs.take();
+                    }
                 }
             }
             None => self.add_peer(now, at, record.listing, record.incarnation),
@@ -110,10 +116,15 @@
     }
 
     fn apply_heard_ages(&mut self, now: Time, ages: &TagMap) {
+        if ages.0.is_empty() {
+            return;
+        }
         for peer in self.peers.values_mut() {
             if let Some(age_ms) = ages.0.get(&peer.tag) {
                 let age = Duration::from_millis(u64::from(*age_ms));
-                peer.last_heard = peer.last_heard.max(now.saturating_sub(age));
+                if peer.heard(now, now.saturating_sub(age)) {
+                    self.hubs.take();
+                }
             }
         }
     }
--- a/crates/decision/src/fleet/send.rs
+++ b/crates/decision/src/fleet/send.rs
@@ -65,8 +65,12 @@
         own: &LoadSummary,
         copies: &[Option<CopyStatus>],
     ) -> Vec<OutgoingPulse> {
+        let known = self.peers.len();
         self.peers
             .retain(|_, p| now.saturating_sub(p.last_heard) < FORGET_AFTER);
+        if self.peers.len() < known {
+            self.hubs.take();
+        }
         self.ticks += 1;
         self.check_hub(now);
         let sent_ms = now.as_millis() as u64;
@@ -108,11 +112,15 @@
         let pulse = self.hub_pulse(now, own, copies, PulseScope::All);
         let is_list = self.is_list_due();
         let domain = self.me.domain.clone();
-        let receivers = self.peers.values().filter(|p| p.listing.domain == domain);
         // Silent instances get the lists too: they may not know of this hub yet.
-        let receivers =
-            receivers.filter(|p| self.is_running(p, now) || is_list && !p.listing.leaving);
-        let receivers: Vec<Listing> = receivers.map(|p| p.listing.clone()).collect();
+        let receivers: Vec<&Peer> = if is_list {
+            let peers = self.peers.values();
+            peers.filter(|p| !p.listing.leaving).collect()
+        } else {
+            self.running(now).collect()
+        };
+        let receivers = receivers.into_iter().map(|p| &p.listing);
+        let receivers: Vec<Listing> = receivers.filter(|l| l.domain == domain).cloned().collect();
         let mut out = Vec::new();
         for receiver in receivers {
             self.send_hub_pulse(now, &mut out, &receiver, &pulse);
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -546,3 +546,34 @@
     net.run(Duration::from_secs(2));
     assert!(ids.iter().all(|id| is_listed(&net, id)));
 }
+
+#[test]
+fn a_hub_is_replaced_at_the_instant_at_which_it_is_lost_or_leaves() {
+    let now = Duration::from_secs(1);
+    let mut fleet = Fleet::new(listing(10, 2), 1);
+    fleet.add_listed(now, (0..10).map(|n| listing(n, 2)).collect());
+    let hub = |fleet: &Fleet| fleet.hub(now, "d0").expect("a hub").id.clone();
+    let first = hub(&fleet);
+    fleet.peer_lost(now, &first);
+    let second = hub(&fleet);
+    assert_ne!(first, second);
+    let leaving = Listing {
+        leaving: true,
+        ..fleet
+            .live(now)
+            .into_iter()
+            .find(|l| l.id == second)
+            .expect("live")
+            .clone()
+    };
+    let mut goodbye = Fleet::new(leaving, 2);
+    goodbye.set_leaving();
+    fleet.receive_pulse(now, &second, goodbye.join_pulse(now));
+    let third = hub(&fleet);
+    assert!(third != first && third != second);
+    // The first one is heard from again.
+    let later = now + Duration::from_millis(1);
+    let back = Fleet::new(listing(first[1..].parse().expect("a number"), 2), 1);
+    fleet.receive_pulse(later, &first, back.join_pulse(later));
+    assert_eq!(fleet.hub(later, "d0").expect("a hub").id, first);
+}
