Give each caller its own subset of a large fleet

Cause: a lookup named the first 64 live instances by name. A domain that is lost would take most callers' addresses with it.

Change: where the fleet is larger than a result, each caller gets a subset by rendezvous hashing of its address, the same from every instance.

Measured: three of the four tests of lookup.rs fail on the code before (64 of 115 instances named; results differ between instances; all 64 in one domain).

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 //! to serve: an instance that hears from no hub reads the store itself.
 
 mod hub;
+mod lookup;
 mod pulse;
 mod read_policy;
 mod receive;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,7 +13,7 @@
 use platform::directory::{ADDRESSES_MAX, READY_PATH, RESOLVE_PATH, ResolveResponse};
 use serde_json::json;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -110,12 +110,12 @@
             continue;
         }
         match listener.accept().await {
-            Ok((tcp, _)) => {
+            Ok((tcp, from)) => {
                 let gateway = gateway.clone();
                 tokio::task::spawn_local(async move {
                     let open = &gateway.connections;
                     open.set(open.get() + 1);
-                    serve_connection(&gateway, tcp, endpoint).await;
+                    serve_connection(&gateway, tcp, from, endpoint).await;
                     open.set(open.get() - 1);
                 });
             }
@@ -128,7 +128,12 @@
 }
 
 /// Serves one connection until the caller or the instance closes it.
-async fn serve_connection(gateway: &SharedGateway, tcp: TcpStream, endpoint: Endpoint) {
+async fn serve_connection(
+    gateway: &SharedGateway,
+    tcp: TcpStream,
+    from: SocketAddr,
+    endpoint: Endpoint,
+) {
     // Events are small, and Nagle's algorithm would delay them.
     if let Err(e) = tcp.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY: {e}");
@@ -146,7 +151,7 @@
     let service = service_fn(move |request| {
         let (gateway, guard) = (shared.clone(), state.begin_request());
         async move {
-            let response = respond(&gateway, request, endpoint).await;
+            let response = respond(&gateway, request, from, endpoint).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
@@ -175,13 +180,14 @@
 async fn respond(
     gateway: &SharedGateway,
     request: Request<Incoming>,
+    from: SocketAddr,
     endpoint: Endpoint,
 ) -> Response<ResponseBody> {
     let path = request.uri().path();
     let mut response = match endpoint {
         Endpoint::Callers => forward::serve(gateway, request).await,
         Endpoint::Ready if path == READY_PATH => ready(gateway),
-        Endpoint::Directory if path == RESOLVE_PATH => resolve(gateway),
+        Endpoint::Directory if path == RESOLVE_PATH => resolve(gateway, from.ip()),
         Endpoint::Control => control::respond(gateway, &request),
         Endpoint::Ready | Endpoint::Directory => {
             forward::own_response(gateway, 404, "not found", None)
@@ -203,12 +209,11 @@
     response
 }
 
-/// Responds to a lookup with the caller addresses of live instances.
-fn resolve(gateway: &SharedGateway) -> Response<ResponseBody> {
+/// Responds to a lookup from `from` with the caller addresses of live instances.
+fn resolve(gateway: &SharedGateway, from: IpAddr) -> Response<ResponseBody> {
     let now = gateway.now();
     let fleet = gateway.fleet.borrow();
-    let live = fleet.live(now);
-    let addresses: Vec<SocketAddr> = live.iter().map(|l| l.caller).take(ADDRESSES_MAX).collect();
+    let addresses = fleet.lookup(now, &from, ADDRESSES_MAX);
     if addresses.is_empty() {
         return forward::own_response(gateway, 503, "no instance is known", Some(1.0));
     }
