Cut no stream for a pause of this instance

Streams were left for another target although no retry was to be had, and were cut for it.

Change: a timer that fires 50 ms late or more starts a new wait, and a silent target is left only if the retry budget gives a retry.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,9 @@
 const GAP_FACTOR: f64 = 2.5;
 /// Lower limit of that time.
 const MIN_GAP: Duration = Duration::from_millis(800);
+/// Delay of a timer from which on this instance was not running. What arrived
+/// meanwhile has not been read yet, so that the gap is not the target's.
+const OWN_DELAY: Duration = Duration::from_millis(50);
 /// Time left before the deadline below which a stream is not resumed.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
 /// Pause before a stream is resumed at yet another target, after one that was full
@@ -195,6 +198,7 @@
             sender,
             last_id: None,
             events: 0,
+            has_retry: false,
         }
         .run(stream, first)
         .await;
@@ -214,6 +218,8 @@
     last_id: Option<u64>,
     /// Events sent to the caller.
     events: u32,
+    /// Whether a retry was taken from the budget and not used yet.
+    has_retry: bool,
 }
 
 /// Why the stream from one target ended.
@@ -304,16 +310,40 @@
                 biased;
                 () = self.sender.closed() => return StreamEnd::CallerLeft,
                 event = stream.next() => event,
-                () = tokio::time::sleep(wait) => {
-                    if wait == left {
+                has_retry = self.wait_for_gap(wait, left) => {
+                    if !has_retry {
                         return StreamEnd::DeadlinePassed;
                     }
+                    self.has_retry = true;
                     Err(AttemptError::Lost("no event for too long".to_owned()))
                 }
             };
         }
     }
 
+    /// Waits until there has been no event for so long that the stream moves to
+    /// another target, takes a retry for that from the budget and returns true.
+    /// Returns false at the deadline, which is `left` away. `wait` is the time for
+    /// which the gap may last yet.
+    ///
+    /// Without a retry it waits on, because a silent target may still continue.
+    async fn wait_for_gap(&self, mut wait: Duration, left: Duration) -> bool {
+        let deadline = self.request.gateway.now() + left;
+        loop {
+            let due = self.request.gateway.now() + wait;
+            tokio::time::sleep(wait).await;
+            let now = self.request.gateway.now();
+            if now >= deadline {
+                return false;
+            }
+            let was_running = now.saturating_sub(due) < OWN_DELAY;
+            if was_running && self.request.take_retry() {
+                return true;
+            }
+            wait = self.max_gap().min(deadline.saturating_sub(now));
+        }
+    }
+
     /// Returns the longest time without a new event before the stream moves to
     /// another target; unlimited if it can't be resumed.
     fn max_gap(&self) -> Duration {
@@ -337,7 +367,7 @@
             return None;
         }
         while self.request.time_left() > MIN_RESUME_TIME && !self.sender.is_closed() {
-            if !self.request.take_retry() {
+            if !std::mem::take(&mut self.has_retry) && !self.request.take_retry() {
                 return None;
             }
             let Ok((pick, lease)) = self.request.choose_target() else {
