Read changes of targets in batches

Cause: a change ends a poll of the feed, so that a release or a start of many targets cost both readers a call for each change.

Change: after a poll with changes the readers of the targets leave the feed alone for 200 ms, and the next poll waits that much less.

--- a/crates/decision/src/fleet/read_policy.rs
+++ b/crates/decision/src/fleet/read_policy.rs
@@ -25,6 +25,9 @@
     /// Longest time for which one call waits for changes. With the delay of the
     /// pulses on top, copies stay younger than `max_age`.
     pub poll_wait: Duration,
+    /// Time for which a reader leaves the feed alone after a poll that returned
+    /// changes, so that the next poll returns many at once.
+    pub batch_time: Duration,
     /// Greatest estimated age of the hubs' copies before other instances read the
     /// table themselves.
     pub max_age: Duration,
@@ -33,6 +36,19 @@
     pub read_at_start: bool,
 }
 
+impl ReadPolicy {
+    /// Returns how long a reader pauses before the next poll, and how long that poll
+    /// waits for changes, so that copies grow no older than without a pause.
+    pub fn next_poll(&self, had_changes: bool) -> (Duration, Duration) {
+        let pause = if had_changes {
+            self.batch_time
+        } else {
+            Duration::ZERO
+        };
+        (pause, self.poll_wait.saturating_sub(pause))
+    }
+}
+
 impl Fleet {
     /// Returns whether this instance still waits for its seeds after its start.
     pub fn waits_for_seeds(&self, now: Time) -> bool {
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -14,6 +14,7 @@
     table: "servers",
     readers: 2,
     poll_wait: Duration::from_millis(1_400),
+    batch_time: Duration::from_millis(200),
     max_age: Duration::from_millis(1_850),
     read_at_start: false,
 };
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -14,13 +14,15 @@
 ///
 /// API keys are accepted only while the copy of the operators' table is recent,
 /// within 2 s under the tightest limit, so every hub reads it each second. Changes
-/// of targets must arrive within the time that a target drains, at least 2.3 s; a
-/// change ends a poll at once.
+/// of targets must arrive within the time that a target drains, at least 2.3 s. A
+/// change ends a poll at once; a release changes many targets one after the other,
+/// and each change would cost every reader a call.
 const READ_POLICIES: [ReadPolicy; 2] = [
     ReadPolicy {
         table: rows::OPERATORS_TABLE,
         readers: usize::MAX,
         poll_wait: Duration::from_secs(1),
+        batch_time: Duration::ZERO,
         max_age: Duration::from_millis(1_500),
         read_at_start: true,
     },
@@ -28,6 +30,7 @@
         table: rows::TARGETS_TABLE,
         readers: LIST_READERS,
         poll_wait: Duration::from_millis(1_400),
+        batch_time: Duration::from_millis(200),
         max_age: Duration::from_millis(1_850),
         read_at_start: false,
     },
@@ -74,6 +77,8 @@
     table: usize,
     /// Mean pause after the next failed call.
     pause: Duration,
+    /// Time for which the next poll of the feed waits for changes.
+    poll_wait: Duration,
     /// Whether the last call failed.
     is_failing: bool,
     /// Reason to read the table that was logged last; `None` if there was none.
@@ -90,6 +95,7 @@
             mesh,
             table,
             pause: MIN_RETRY_PAUSE,
+            poll_wait: READ_POLICIES[table].poll_wait,
             is_failing: false,
             reason: None,
             clock_offset: None,
@@ -105,7 +111,7 @@
                 continue;
             }
             match self.read().await {
-                Ok(()) => self.after_success().await,
+                Ok(had_changes) => self.after_success(had_changes).await,
                 Err(e) => self.after_error(&e).await,
             }
         }
@@ -133,8 +139,9 @@
     }
 
     /// Reads the changes since the version of the copy, or the whole table if there
-    /// is no copy or the store no longer has those changes.
-    async fn read(&mut self) -> platform::Result<()> {
+    /// is no copy or the store no longer has those changes. Returns whether there
+    /// were any.
+    async fn read(&mut self) -> platform::Result<bool> {
         let version = self.gateway.copies.borrow()[self.table].version();
         let table = TABLES[self.table];
         let start = self.gateway.now();
@@ -160,8 +167,9 @@
             }
             Err(e) => return Err(e),
         };
+        let had_changes = !rows.rows.is_empty();
         self.apply(start, since, rows);
-        Ok(())
+        Ok(had_changes)
     }
 
     /// Returns how long a poll of the feed waits for changes. Only hubs wait; other
@@ -169,7 +177,7 @@
     fn poll_wait(&self) -> Duration {
         let now = self.gateway.now();
         if self.gateway.fleet.borrow().is_hub(now) {
-            READ_POLICIES[self.table].poll_wait
+            self.poll_wait
         } else {
             Duration::ZERO
         }
@@ -216,16 +224,22 @@
         snapshot.map_or(start, |at| at.min(now).saturating_sub(CLOCK_SLACK))
     }
 
-    async fn after_success(&mut self) {
+    async fn after_success(&mut self, had_changes: bool) {
         self.pause = MIN_RETRY_PAUSE;
         if std::mem::take(&mut self.is_failing) {
             self.gateway.event_log.state_change(&json!({
                 "event": "store regained", "table": TABLES[self.table],
             }));
         }
-        if !self.gateway.fleet.borrow().is_hub(self.gateway.now()) {
-            tokio::time::sleep(READ_PAUSE.mul_f64(jitter())).await;
-        }
+        let is_hub = self.gateway.fleet.borrow().is_hub(self.gateway.now());
+        let (pause, poll_wait) = READ_POLICIES[self.table].next_poll(had_changes);
+        self.poll_wait = poll_wait;
+        let pause = if is_hub {
+            pause
+        } else {
+            READ_PAUSE.mul_f64(jitter())
+        };
+        tokio::time::sleep(pause).await;
     }
 
     async fn after_error(&mut self, error: &StoreError) {
