Rank the instances of a lookup like everything else

The subset of a lookup had its own copy of the ranking in hash.rs. Same order of the same scores; lookup.rs and fleet.rs (23 tests) hold as before.

--- a/crates/decision/src/fleet/hub.rs
+++ b/crates/decision/src/fleet/hub.rs
@@ -20,7 +20,6 @@
 /// [`LIVE_TIMEOUT`] it stays below the 6 s for which operators allow an instance
 /// that is gone to be listed as live.
 const MAX_NEWS_AGE: Duration = Duration::from_millis(2_500);
-
 /// Time for which the hubs that were determined are used, unless an instance has
 /// changed in the meantime. It delays the detection of a timeout.
 const HUB_TABLE_LIFETIME: Duration = Duration::from_millis(10);
@@ -111,7 +110,7 @@
     }
 
     /// Returns the listing of this instance or of a peer.
-    fn listing(&self, id: &str) -> Option<&Listing> {
+    pub(super) fn listing(&self, id: &str) -> Option<&Listing> {
         match self.peers.get(id) {
             _ if *id == *self.me.id => Some(&self.me),
             peer => peer.map(|p| &p.listing),
--- a/crates/decision/src/fleet/lookup.rs
+++ b/crates/decision/src/fleet/lookup.rs
@@ -7,29 +7,22 @@
 //! that joins or leaves changes one address of a result.
 
 use super::Fleet;
-use crate::hash::{hash_parts, score};
+use crate::hash::{hash_parts, rank};
 use crate::id::Time;
-use crate::members::Listing;
 use std::net::{IpAddr, SocketAddr};
 
 impl Fleet {
     /// Returns the addresses of at most `max` live instances for the caller at an
     /// address. Callers behind the same address get the same ones.
     pub fn lookup(&self, now: Time, caller: &IpAddr, max: usize) -> Vec<SocketAddr> {
-        let mut live = self.live(now);
-        if live.len() > max {
-            live = subset(live, caller, max);
+        let live = self.live(now);
+        if live.len() <= max {
+            return live.into_iter().map(|l| l.caller).collect();
         }
-        live.into_iter().map(|l| l.caller).collect()
+        let key = hash_parts(&[caller.to_string().as_bytes()]);
+        let ranking = rank(key, live.iter().map(|l| (l.id.as_str(), 1)));
+        let subset = ranking.into_iter().take(max);
+        let subset = subset.filter_map(|id| self.listing(id));
+        subset.map(|l| l.caller).collect()
     }
 }
-
-fn subset<'a>(live: Vec<&'a Listing>, caller: &IpAddr, size: usize) -> Vec<&'a Listing> {
-    let key = hash_parts(&[caller.to_string().as_bytes()]);
-    let scored = live
-        .into_iter()
-        .map(|l| (score(key, l.id.as_bytes(), 1), l));
-    let mut scored: Vec<(f64, &Listing)> = scored.collect();
-    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
-    scored.into_iter().take(size).map(|(_, l)| l).collect()
-}
