Log why a connection or a stream ended early

A connection that ended early was counted as `broken`, whatever ended it, and a stream that was cut carried the first target's error but not why no other target continued it.

Count the timeout that ended a connection (idle, head, write), and log and count why a stream was not resumed. No change of behaviour.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
 use crate::forward::{ForwardedRequest, RequestCounter};
 use crate::sse::{SseEvent, SseSplitter};
-use decision::{AttemptOutcome, RetryPolicy};
+use decision::{AttemptOutcome, Refusal, RetryPolicy};
 use exchange::Reservation;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -257,8 +257,15 @@
                 .metrics
                 .count("streams_cut", error.label());
             match self.resume(&error).await {
-                Some(resumed) => stream = resumed,
-                None => return self.truncate(error.detail()).await,
+                Ok(resumed) => stream = resumed,
+                Err(obstacle) => {
+                    self.request
+                        .gateway
+                        .metrics
+                        .count("resume_failures", obstacle);
+                    let reason = format!("{}; not resumed: {obstacle}", error.detail());
+                    return self.truncate(&reason).await;
+                }
             }
             next = stream.next().await;
         }
@@ -356,23 +363,26 @@
         Duration::MAX
     }
 
-    /// Continues the stream after its last event at another target. Returns `None`
-    /// if it can't be resumed.
-    async fn resume(&mut self, error: &AttemptError) -> Option<TargetStream> {
+    /// Continues the stream after its last event at another target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be resumed, as a label of the metrics.
+    async fn resume(&mut self, error: &AttemptError) -> Result<TargetStream, &'static str> {
         self.request.record_error(error);
         self.request.runs += 1;
         let route = self.request.admission.route.clone();
-        let may_resume = route.retry_policy == RetryPolicy::Resumable && self.last_id.is_some();
-        if !may_resume || self.request.runs >= route.max_attempts {
-            return None;
+        if route.retry_policy != RetryPolicy::Resumable || self.last_id.is_none() {
+            return Err("not_resumable");
+        }
+        if self.request.runs >= route.max_attempts {
+            return Err("no_attempt_left");
         }
         while self.request.time_left() > MIN_RESUME_TIME && !self.sender.is_closed() {
             if !std::mem::take(&mut self.has_retry) && !self.request.take_retry() {
-                return None;
+                return Err("no_retry");
             }
-            let Ok((pick, lease)) = self.request.choose_target() else {
-                return None;
-            };
+            let (pick, lease) = self.request.choose_target().map_err(Refusal::word)?;
             let after = self.last_id;
             let timeout = self.request.time_left();
             let opened = self.request.send_attempt(&pick, after, timeout).await;
@@ -380,23 +390,23 @@
             match opened {
                 Ok(opened) if opened.response.status().is_success() => {
                     self.request.gateway.metrics.count("resumes", error.label());
-                    return Some(TargetStream::new(&self.request.gateway, opened, lease).1);
+                    return Ok(TargetStream::new(&self.request.gateway, opened, lease).1);
                 }
                 Ok(_) => {
                     lease.end(AttemptOutcome::Failed);
-                    return None;
+                    return Err("failed");
                 }
                 Err(retry_error) => {
                     self.request.record_error(&retry_error);
                     lease.end(retry_error.outcome());
                     if !retry_error.has_not_run() {
-                        return None;
+                        return Err(retry_error.label());
                     }
                     tokio::time::sleep(RESUME_PAUSE).await;
                 }
             }
         }
-        None
+        Err("no_time")
     }
 
     /// Ends the body with an error, so that the caller notices that the stream is
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -147,9 +147,9 @@
         limits.header_timeout,
         limits.idle_timeout,
     );
-    let shared = gateway.clone();
+    let (shared, requests) = (gateway.clone(), state.clone());
     let service = service_fn(move |request| {
-        let (gateway, guard) = (shared.clone(), state.begin_request());
+        let (gateway, guard) = (shared.clone(), requests.begin_request());
         async move {
             let response = respond(&gateway, request, from, endpoint).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
@@ -171,9 +171,13 @@
             connection.await
         }
     };
-    if let Err(e) = ended {
-        gateway.metrics.count("connections", "broken");
-        log::debug!("connection failed: {e}");
+    match (state.expired(), ended) {
+        (Some(timeout), _) => gateway.metrics.count("connections", timeout.label()),
+        (None, Err(e)) => {
+            gateway.metrics.count("connections", "broken");
+            log::debug!("connection failed: {e}");
+        }
+        (None, Ok(())) => {}
     }
 }
 
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -22,20 +22,65 @@
     Serving,
 }
 
-/// Activity of a connection, shared between its stream and its requests.
+/// Timeout of a connection that can expire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Timeout {
+    /// No request came.
+    Idle,
+    /// A request head took too long.
+    Head,
+    /// The caller read nothing.
+    Write,
+}
+
+impl Timeout {
+    /// Returns the name of the timeout in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Timeout::Idle => "idle_timeout",
+            Timeout::Head => "head_timeout",
+            Timeout::Write => "write_timeout",
+        }
+    }
+}
+
+/// State of a connection, shared between its stream and its requests.
 #[derive(Clone, Debug)]
-pub(crate) struct ConnectionState(Rc<Cell<Activity>>);
+pub(crate) struct ConnectionState(Rc<StateCells>);
+
+#[derive(Debug)]
+struct StateCells {
+    activity: Cell<Activity>,
+    /// Timeout that has ended the connection.
+    expired: Cell<Option<Timeout>>,
+}
 
 impl ConnectionState {
     pub(crate) fn new() -> Self {
-        ConnectionState(Rc::new(Cell::new(Activity::Idle(Instant::now()))))
+        ConnectionState(Rc::new(StateCells {
+            activity: Cell::new(Activity::Idle(Instant::now())),
+            expired: Cell::new(None),
+        }))
+    }
+
+    /// Returns the timeout that has ended the connection, if one did.
+    pub(crate) fn expired(&self) -> Option<Timeout> {
+        self.0.expired.get()
+    }
+
+    fn activity(&self) -> Activity {
+        self.0.activity.get()
+    }
+
+    fn set_activity(&self, activity: Activity) {
+        self.0.activity.set(activity);
     }
 
     /// Records that a request head is complete. The connection counts as serving
     /// the request until the returned guard is dropped; [`GuardedBody`] keeps it
     /// together with the body of the response.
     pub(crate) fn begin_request(&self) -> RequestGuard {
-        self.0.set(Activity::Serving);
+        self.set_activity(Activity::Serving);
         RequestGuard(self.clone())
     }
 }
@@ -46,7 +91,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.0.set(Activity::Idle(Instant::now()));
+        self.0.set_activity(Activity::Idle(Instant::now()));
     }
 }
 
@@ -116,29 +161,37 @@
         }
     }
 
-    fn deadline(&self) -> Option<Instant> {
-        match self.state.0.get() {
-            Activity::Idle(since) => Some(since + self.idle_timeout),
-            Activity::ReadingHead(since) => Some(since + self.head_timeout),
+    /// Returns the time at which reading fails, and the timeout that expires then.
+    fn deadline(&self) -> Option<(Instant, Timeout)> {
+        match self.state.activity() {
+            Activity::Idle(since) => Some((since + self.idle_timeout, Timeout::Idle)),
+            Activity::ReadingHead(since) => Some((since + self.head_timeout, Timeout::Head)),
             Activity::Serving => None,
         }
     }
 
+    /// Records which timeout has expired and returns the error that ends the
+    /// connection.
+    fn expire(&self, timeout: Timeout) -> io::Error {
+        self.state.0.expired.set(Some(timeout));
+        io::ErrorKind::TimedOut.into()
+    }
+
     /// Fails if the deadline for reading has passed; otherwise wakes the task at
     /// the deadline.
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Some(deadline) = self.deadline() else {
+        let Some((deadline, timeout)) = self.deadline() else {
             return Poll::Pending;
         };
-        self.poll_timer(deadline, context).map(Err)
+        let passed = self.poll_timer(deadline, context);
+        passed.map(|()| Err(self.expire(timeout)))
     }
 
-    fn poll_timer(&mut self, deadline: Instant, context: &mut Context<'_>) -> Poll<io::Error> {
+    fn poll_timer(&mut self, deadline: Instant, context: &mut Context<'_>) -> Poll<()> {
         if self.timer.deadline() != deadline {
             self.timer.as_mut().reset(deadline);
         }
-        let passed = self.timer.as_mut().poll(context);
-        passed.map(|()| io::ErrorKind::TimedOut.into())
+        self.timer.as_mut().poll(context)
     }
 
     /// Returns the result of a write; fails if no write has succeeded for the idle
@@ -154,7 +207,8 @@
         }
         let since = *self.stalled_since.get_or_insert_with(Instant::now);
         let deadline = since + self.idle_timeout;
-        self.poll_timer(deadline, context).map(Err)
+        let passed = self.poll_timer(deadline, context);
+        passed.map(|()| Err(self.expire(Timeout::Write)))
     }
 }
 
@@ -168,14 +222,15 @@
         match Pin::new(&mut self.tcp).poll_read(context, buffer) {
             Poll::Pending => self.poll_deadline(context),
             Poll::Ready(Ok(())) if buffer.filled().len() > before => {
-                if let Activity::Idle(_) = self.state.0.get() {
-                    self.state.0.set(Activity::ReadingHead(Instant::now()));
+                if let Activity::Idle(_) = self.state.activity() {
+                    self.state
+                        .set_activity(Activity::ReadingHead(Instant::now()));
                 }
                 // Checked after each read, so that a head that arrives byte by byte
                 // can't avoid the timeout.
                 match self.deadline() {
-                    Some(deadline) if deadline <= Instant::now() => {
-                        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+                    Some((deadline, timeout)) if deadline <= Instant::now() => {
+                        Poll::Ready(Err(self.expire(timeout)))
                     }
                     _ => Poll::Ready(Ok(())),
                 }
