End a resumed stream without events at its deadline

A caller whose stream had been resumed got nothing, and its connection stayed open for long after the request's deadline, if the second target sent its head and then no event.

After a resume the relay awaited the first event of the new target directly, outside of the wait that watches the deadline, the gap between events and the caller's connection. All events are now awaited in one place. The first event after a resume has as much time as any first event before the stream moves again.

Without the fix:

a_resumed_stream_without_events_ends_at_the_deadline panicked at platform/tests/silent_streams.rs:239:5: 20.079208594s

where 2.5 s is the limit for a deadline of 2 s.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -287,18 +287,26 @@
     /// Returns how long this attempt may take to the head of its response and, for
     /// a stream, from there to the first event.
     pub(crate) fn first_byte_timeout(&self) -> Duration {
-        let route = &self.admission.route;
         let left = self.time_left();
-        let may_retry = self.may_run_again(self.runs + 1);
-        let timeout = match route.retry_policy {
-            _ if !may_retry => return left,
-            RetryPolicy::Idempotent => route.ttfb_goal.mul_f64(IDEMPOTENT_FACTOR),
-            _ => route.ttfb_goal.mul_f64(RESUMABLE_FACTOR),
-        };
+        if !self.may_run_again(self.runs + 1) {
+            return left;
+        }
+        let timeout = self.first_byte_limit();
         // If another attempt of this length doesn't fit, this one gets all the time.
         if timeout * 2 > left { left } else { timeout }
     }
 
+    /// Returns the time in which a target usually sends the head of a response, and
+    /// then the first event of a stream.
+    pub(crate) fn first_byte_limit(&self) -> Duration {
+        let route = &self.admission.route;
+        let factor = match route.retry_policy {
+            RetryPolicy::Idempotent => IDEMPOTENT_FACTOR,
+            _ => RESUMABLE_FACTOR,
+        };
+        route.ttfb_goal.mul_f64(factor)
+    }
+
     fn is_stream(&self, opened: &OpenResponse) -> bool {
         self.admission.route.retry_policy.is_stream() && opened.response.status().is_success()
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
 use crate::forward::{ForwardedRequest, RequestCounter};
 use crate::sse::{SseEvent, SseSplitter};
-use decision::{AttemptOutcome, Refusal, RetryPolicy};
+use decision::{AttemptOutcome, Refusal, RetryPolicy, Time};
 use exchange::Reservation;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -236,9 +236,9 @@
 
 impl Relay {
     async fn run(mut self, mut stream: TargetStream, first: Option<SseEvent>) {
-        let mut next = Ok(first);
+        let mut first = Some(first.ok_or(StreamEnd::Complete));
         loop {
-            let end = self.forward_events(&mut stream, next).await;
+            let end = self.forward_events(&mut stream, first.take()).await;
             stream.end(match end {
                 StreamEnd::Complete => AttemptOutcome::Completed,
                 StreamEnd::Failed(_) => AttemptOutcome::Broken,
@@ -267,25 +267,31 @@
                     return self.truncate(&reason).await;
                 }
             }
-            next = stream.next().await;
         }
     }
 
-    /// Sends events to the caller until the stream from one target ends.
+    /// Sends events to the caller until the stream from one target ends. `first` is
+    /// the first event, if it has been read already.
     async fn forward_events(
         &mut self,
         stream: &mut TargetStream,
-        first: Result<Option<SseEvent>, AttemptError>,
+        mut first: Option<Result<SseEvent, StreamEnd>>,
     ) -> StreamEnd {
-        let mut next = first;
         // Events that the caller has already got are no progress: a target that
         // repeats them forever must not hold the stream.
         let mut last_progress = self.request.gateway.now();
+        let mut max_gap = match first {
+            Some(_) => self.max_gap(),
+            None => self.max_gap().max(self.request.first_byte_limit()),
+        };
         loop {
+            let next = match first.take() {
+                Some(next) => next,
+                None => self.next_event(stream, last_progress, max_gap).await,
+            };
             let event = match next {
-                Ok(Some(event)) => event,
-                Ok(None) => return StreamEnd::Complete,
-                Err(error) => return StreamEnd::Failed(error),
+                Ok(event) => event,
+                Err(end) => return end,
             };
             let is_new = event.id.is_none() || event.id > self.last_id;
             if is_new {
@@ -300,34 +306,51 @@
                     Err(_) => return StreamEnd::DeadlinePassed,
                 }
                 last_progress = self.request.gateway.now();
+                max_gap = self.max_gap();
             }
-            let left = self.request.time_left();
-            if left.is_zero() {
-                return StreamEnd::DeadlinePassed;
-            }
-            let idle = self.request.gateway.now().saturating_sub(last_progress);
-            let max_gap = self.max_gap();
-            if !is_new && idle >= max_gap {
+            if !is_new && self.idle(last_progress) >= max_gap {
                 return StreamEnd::Failed(AttemptError::Lost(
                     "no new event for too long".to_owned(),
                 ));
             }
-            let wait = max_gap.saturating_sub(idle).min(left);
-            next = tokio::select! {
-                biased;
-                () = self.sender.closed() => return StreamEnd::CallerLeft,
-                event = stream.next() => event,
-                has_retry = self.wait_for_gap(wait, left) => {
-                    if !has_retry {
-                        return StreamEnd::DeadlinePassed;
-                    }
-                    self.has_retry = true;
-                    Err(AttemptError::Lost("no event for too long".to_owned()))
-                }
-            };
         }
     }
 
+    /// Waits for the next event or the end of the stream, for `max_gap` since
+    /// `last_progress` at most.
+    async fn next_event(
+        &mut self,
+        stream: &mut TargetStream,
+        last_progress: Time,
+        max_gap: Duration,
+    ) -> Result<SseEvent, StreamEnd> {
+        let left = self.request.time_left();
+        if left.is_zero() {
+            return Err(StreamEnd::DeadlinePassed);
+        }
+        let wait = max_gap.saturating_sub(self.idle(last_progress));
+        let has_retry = tokio::select! {
+            biased;
+            () = self.sender.closed() => return Err(StreamEnd::CallerLeft),
+            event = stream.next() => {
+                return event.map_err(StreamEnd::Failed)?.ok_or(StreamEnd::Complete);
+            }
+            has_retry = self.wait_for_gap(wait.min(left), left) => has_retry,
+        };
+        if !has_retry {
+            return Err(StreamEnd::DeadlinePassed);
+        }
+        self.has_retry = true;
+        Err(StreamEnd::Failed(AttemptError::Lost(
+            "no event for too long".to_owned(),
+        )))
+    }
+
+    /// Returns the time since `last_progress`.
+    fn idle(&self, last_progress: Time) -> Duration {
+        self.request.gateway.now().saturating_sub(last_progress)
+    }
+
     /// Waits until there has been no event for so long that the stream moves to
     /// another target, takes a retry for that from the budget and returns true.
     /// Returns false at the deadline, which is `left` away. `wait` is the time for
