Free the target that resumes an abandoned stream

A target worked on for up to the request's deadline for a caller that had closed its connection while the stream was being resumed there: nothing watched the caller's connection until the new target sent its head. The request was also logged as cut.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -258,6 +258,9 @@
                 .count("streams_cut", error.label());
             match self.resume(&error).await {
                 Ok(resumed) => stream = resumed,
+                Err(_) if self.sender.is_closed() => {
+                    return self.request.log_end("caller_left", 200, &Value::Null);
+                }
                 Err(obstacle) => {
                     self.request
                         .gateway
@@ -408,7 +411,11 @@
             let (pick, lease) = self.request.choose_target().map_err(Refusal::word)?;
             let after = self.last_id;
             let timeout = self.request.time_left();
-            let opened = self.request.send_attempt(&pick, after, timeout).await;
+            let opened = tokio::select! {
+                biased;
+                () = self.sender.closed() => break,
+                opened = self.request.send_attempt(&pick, after, timeout) => opened,
+            };
             self.request.record_load(&pick, &opened);
             match opened {
                 Ok(opened) if opened.response.status().is_success() => {
