Keep a silent attempt until another can take over

Callers got 502 although their target was still connected and at work: an attempt that had sent no head, or no first event, for a multiple of the goal for the first byte was closed before it was known whether the budget gave a retry or another target could be chosen. With one target, or while the others were full, draining or already tried, nothing followed. A target that is silent for a second or so may be sound.

Choose the next target, and take its retry, before the silent one is left; where either is impossible, wait on and look again every 250 ms, up to the deadline. A token whose retry is not sent goes back to the budget. A timer that fired late says nothing about the target, as with streams.

--- a/crates/decision/src/retry_budget.rs
+++ b/crates/decision/src/retry_budget.rs
@@ -57,4 +57,9 @@
         self.tokens -= 1.0;
         true
     }
+
+    /// Puts back the token of a retry that was not sent.
+    pub fn put_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.limit);
+    }
 }
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -364,6 +364,12 @@
         budget.withdraw(now)
     }
 
+    /// Puts back a token of [`Router::take_retry_token`] for a retry that was not
+    /// sent.
+    pub fn return_retry_token(&mut self, service: &ServiceId) {
+        self.budget(service).put_back();
+    }
+
     /// Returns this instance's share of a service's retry budget.
     fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
         let ratio = self.bounds.retry_ratio * RETRY_BUDGET_SHARE;
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -469,3 +469,23 @@
         prop_assert!(f64::from(retries) <= allowed + instances as f64, "{retries} of {allowed}");
     }
 }
+
+// Guards against retries beyond the budget, and against a budget that runs dry,
+// when tokens are taken for retries that are not sent.
+#[test]
+fn a_returned_retry_token_can_be_taken_once() {
+    let pool = decision::ServiceId::from("pool");
+    let now = Duration::from_secs(10);
+    let retries = |unsent: u32| {
+        let mut router = router(1);
+        router.set_share(1, 0);
+        for _ in 0..unsent {
+            if router.take_retry_token(now, &pool) {
+                router.return_retry_token(&pool);
+            }
+        }
+        std::iter::from_fn(|| router.take_retry_token(now, &pool).then_some(())).count()
+    };
+    assert!(retries(0) > 1);
+    assert_eq!(retries(0), retries(1_000));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to send a request to one target.
 
 use crate::SharedGateway;
-use decision::{AttemptOutcome, Lease, Pick, Refusal};
+use decision::{AttemptOutcome, Lease, Pick, Refusal, TargetId};
 use exchange::Driver;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Returns the target of the attempt.
+    pub(crate) fn target(&self) -> &TargetId {
+        &self.lease.target
+    }
+
     /// Ends the attempt with an outcome.
     pub(crate) fn end(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -29,10 +29,18 @@
 const RESUMABLE_FACTOR: f64 = 3.0;
 /// Time left before the deadline below which no further attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
+/// Delay of a timer from which on this instance was not running.
+const OWN_DELAY: Duration = Duration::from_millis(50);
+/// Interval at which another target is looked for while one is silent.
+const SUCCESSOR_PAUSE: Duration = Duration::from_millis(250);
 /// Range of the `Retry-After` header in seconds. The value is random, so that
 /// callers that are refused together don't return together.
 const RETRY_AFTER_S: std::ops::Range<f64> = 0.15..0.5;
 
+/// Target that was chosen for an attempt, and the guard that counts the request
+/// there.
+pub(crate) type Choice = (Pick, LeaseGuard);
+
 /// Admitted request of a caller and the state of its attempts.
 pub(crate) struct ForwardedRequest {
     pub(crate) gateway: SharedGateway,
@@ -54,6 +62,9 @@
     hash: u64,
     /// Latest response with a 5xx status, returned if no other attempt succeeds.
     failed_response: Option<FailedResponse>,
+    /// Target of the next attempt, if it has been chosen already and a retry has been
+    /// taken for it.
+    pub(crate) successor: Option<Choice>,
 }
 
 /// Log entry of one attempt: what the instance knew when it chose the target, and
@@ -132,6 +143,7 @@
         is_finished: Cell::new(false),
         hash,
         failed_response: None,
+        successor: None,
     };
     request.run().await
 }
@@ -209,7 +221,18 @@
 
     /// Chooses a target for the next attempt and counts the request there until the
     /// returned guard is dropped.
-    pub(crate) fn choose_target(&mut self) -> Result<(Pick, LeaseGuard), Refusal> {
+    pub(crate) fn choose_target(&mut self) -> Result<Choice, Refusal> {
+        let choice = match self.successor.take() {
+            Some(choice) => choice,
+            None => self.choose(None)?,
+        };
+        self.record_attempt(&choice.0);
+        Ok(choice)
+    }
+
+    /// Chooses a target at which no attempt has failed, other than `silent`.
+    fn choose(&self, silent: Option<&TargetId>) -> Result<Choice, Refusal> {
+        let tried: Vec<TargetId> = self.tried.iter().chain(silent).cloned().collect();
         let query = TargetQuery {
             service: &self.admission.service,
             prompt_prefix: self
@@ -217,11 +240,17 @@
                 .prompt_prefix
                 .filter(|_| self.admission.route.has_prompts),
             spread_hash: self.hash,
-            tried: &self.tried,
+            tried: &tried,
         };
         let now = self.gateway.now();
         self.readmit()?;
         let pick = self.gateway.router.borrow_mut().choose(now, &query)?;
+        let lease = LeaseGuard::new(&self.gateway, pick.lease.clone());
+        Ok((pick, lease))
+    }
+
+    /// Adds the choice of a target to the log of this request's attempts.
+    pub(crate) fn record_attempt(&mut self, pick: &Pick) {
         self.attempts.push(AttemptRecord {
             target: pick.lease.target.clone(),
             load: pick.load,
@@ -234,8 +263,50 @@
         });
         let metrics = &self.gateway.metrics;
         metrics.count("known_loads", load_label(pick.load, pick.load_limit));
-        let lease = LeaseGuard::new(&self.gateway, pick.lease.clone());
-        Ok((pick, lease))
+    }
+
+    /// Waits until the target `silent` has sent nothing for `wait` and another one
+    /// can take over: it can be chosen, and the budget gives a retry.
+    ///
+    /// Never returns if the request may not be repeated, or once less than `needed`
+    /// is left before the deadline. A silent target may be sound, so it is not left
+    /// as long as no other can take over.
+    pub(crate) async fn wait_for_successor(
+        &self,
+        silent: &TargetId,
+        wait: Duration,
+        needed: Duration,
+    ) -> Choice {
+        let mut pause = wait;
+        loop {
+            let due = self.gateway.now().saturating_add(pause);
+            tokio::time::sleep(pause).await;
+            if self.time_left() < needed {
+                std::future::pending::<()>().await;
+            }
+            // What arrived while this instance was not running has not been read yet.
+            pause = match self.gateway.now().saturating_sub(due) {
+                delay if delay >= OWN_DELAY => wait,
+                _ => match self.choose_successor(silent) {
+                    Some(choice) => return choice,
+                    None => SUCCESSOR_PAUSE,
+                },
+            };
+        }
+    }
+
+    /// Takes a token from the retry budget and chooses another target than `silent`;
+    /// `None` if either is impossible.
+    fn choose_successor(&self, silent: &TargetId) -> Option<Choice> {
+        if !self.take_retry() {
+            return None;
+        }
+        let choice = self.choose(Some(silent));
+        if choice.is_err() {
+            let mut router = self.gateway.router.borrow_mut();
+            router.return_retry_token(&self.admission.service);
+        }
+        choice.ok()
     }
 
     /// Checks whether the request may still be sent: its API key may have been
@@ -250,10 +321,17 @@
         self.deadline.saturating_sub(self.gateway.now())
     }
 
-    /// Sends the request to a target and waits for the head of the response.
-    async fn send(&self, pick: &Pick) -> Result<OpenResponse, AttemptError> {
-        let timeout = self.first_byte_timeout();
-        self.send_attempt(pick, self.head.last_event, timeout).await
+    /// Sends the request to a target and waits for the head of the response, or until
+    /// the target has been silent for too long and another one is to take over.
+    async fn send(&mut self, pick: &Pick) -> Result<OpenResponse, AttemptError> {
+        let sending = self.send_attempt(pick, self.head.last_event, self.time_left());
+        let successor = tokio::select! {
+            biased;
+            opened = sending => return opened,
+            successor = self.wait_for_first_byte(&pick.lease.target) => successor,
+        };
+        self.successor = Some(successor);
+        Err(AttemptError::Lost("no answer in time".to_owned()))
     }
 
     /// Sends the request to a target as [`ForwardedRequest::send`] does; a stream
@@ -284,16 +362,16 @@
         route.retry_policy.is_repeatable() && runs < route.max_attempts
     }
 
-    /// Returns how long this attempt may take to the head of its response and, for
-    /// a stream, from there to the first event.
-    pub(crate) fn first_byte_timeout(&self) -> Duration {
-        let left = self.time_left();
+    /// Waits until the target `silent` has taken too long to the head of its response
+    /// or, for a stream, from there to the first event, and another one can take over.
+    ///
+    /// Never returns if no other attempt of this length fits.
+    pub(crate) async fn wait_for_first_byte(&self, silent: &TargetId) -> Choice {
         if !self.may_run_again(self.runs + 1) {
-            return left;
+            return std::future::pending().await;
         }
-        let timeout = self.first_byte_limit();
-        // If another attempt of this length doesn't fit, this one gets all the time.
-        if timeout * 2 > left { left } else { timeout }
+        let limit = self.first_byte_limit();
+        self.wait_for_successor(silent, limit, limit).await
     }
 
     /// Returns the time in which a target usually sends the head of a response, and
@@ -371,7 +449,8 @@
         }
         let may_retry = self.runs == 0 || self.may_run_again(self.runs);
         let has_time = self.time_left() > MIN_ATTEMPT_TIME;
-        if may_retry && has_time && (!error.may_have_arrived() || self.take_retry()) {
+        let has_token = || self.successor.is_some() || self.take_retry();
+        if may_retry && has_time && (!error.may_have_arrived() || has_token()) {
             self.gateway.metrics.count("retries", error.label());
             return None;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -167,21 +167,25 @@
 /// Waits for the first event and starts the task that relays the stream. If no
 /// event arrives, returns the request and the error, for another attempt.
 pub(crate) async fn start(
-    request: ForwardedRequest,
+    mut request: ForwardedRequest,
     opened: OpenResponse,
     lease: LeaseGuard,
 ) -> Result<Response<ResponseBody>, (Box<ForwardedRequest>, AttemptError)> {
+    let target = lease.target().clone();
     let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease);
-    let first = tokio::time::timeout(request.first_byte_timeout(), stream.next()).await;
-    let first = match first {
-        Ok(Ok(first)) => first,
-        Ok(Err(error)) => {
-            stream.end(AttemptOutcome::Broken);
-            return Err((Box::new(request), error));
+    let first = tokio::select! {
+        biased;
+        first = stream.next() => first,
+        () = tokio::time::sleep(request.time_left()) => Err(no_event()),
+        successor = request.wait_for_first_byte(&target) => {
+            request.successor = Some(successor);
+            Err(no_event())
         }
-        Err(_) => {
+    };
+    let first = match first {
+        Ok(first) => first,
+        Err(error) => {
             stream.end(AttemptOutcome::Broken);
-            let error = AttemptError::Lost("no event in time".to_owned());
             return Err((Box::new(request), error));
         }
     };
@@ -210,6 +214,10 @@
     Ok(response)
 }
 
+fn no_event() -> AttemptError {
+    AttemptError::Lost("no event in time".to_owned())
+}
+
 /// Task that relays one stream to one caller.
 struct Relay {
     request: ForwardedRequest,
