--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
 use crate::forward::{ForwardedRequest, RequestCounter};
 use crate::sse::{SseEvent, SseSplitter};
-use decision::{AttemptOutcome, RetryPolicy};
+use decision::{AttemptOutcome, Refusal, RetryPolicy, Time};
 use exchange::Reservation;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -167,21 +167,25 @@
 /// Waits for the first event and starts the task that relays the stream. If no
 /// event arrives, returns the request and the error, for another attempt.
 pub(crate) async fn start(
-    request: ForwardedRequest,
+    mut request: ForwardedRequest,
     opened: OpenResponse,
     lease: LeaseGuard,
 ) -> Result<Response<ResponseBody>, (Box<ForwardedRequest>, AttemptError)> {
+    let target = lease.target().clone();
     let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease);
-    let first = tokio::time::timeout(request.first_byte_timeout(), stream.next()).await;
-    let first = match first {
-        Ok(Ok(first)) => first,
-        Ok(Err(error)) => {
-            stream.end(AttemptOutcome::Broken);
-            return Err((Box::new(request), error));
+    let first = tokio::select! {
+        biased;
+        first = stream.next() => first,
+        () = tokio::time::sleep(request.time_left()) => Err(no_event()),
+        successor = request.wait_for_first_byte(&target) => {
+            request.successor = Some(successor);
+            Err(no_event())
         }
-        Err(_) => {
+    };
+    let first = match first {
+        Ok(first) => first,
+        Err(error) => {
             stream.end(AttemptOutcome::Broken);
-            let error = AttemptError::Lost("no event in time".to_owned());
             return Err((Box::new(request), error));
         }
     };
@@ -210,6 +214,10 @@
     Ok(response)
 }
 
+fn no_event() -> AttemptError {
+    AttemptError::Lost("no event in time".to_owned())
+}
+
 /// Task that relays one stream to one caller.
 struct Relay {
     request: ForwardedRequest,
@@ -236,9 +244,9 @@
 
 impl Relay {
     async fn run(mut self, mut stream: TargetStream, first: Option<SseEvent>) {
-        let mut next = Ok(first);
+        let mut first = Some(first.ok_or(StreamEnd::Complete));
         loop {
-            let end = self.forward_events(&mut stream, next).await;
+            let end = self.forward_events(&mut stream, first.take()).await;
             stream.end(match end {
                 StreamEnd::Complete => AttemptOutcome::Completed,
                 StreamEnd::Failed(_) => AttemptOutcome::Broken,
@@ -257,28 +265,44 @@
                 .metrics
                 .count("streams_cut", error.label());
             match self.resume(&error).await {
-                Some(resumed) => stream = resumed,
-                None => return self.truncate(error.detail()).await,
+                Ok(resumed) => stream = resumed,
+                Err(_) if self.sender.is_closed() => {
+                    return self.request.log_end("caller_left", 200, &Value::Null);
+                }
+                Err(obstacle) => {
+                    self.request
+                        .gateway
+                        .metrics
+                        .count("resume_failures", obstacle);
+                    let reason = format!("{}; not resumed: {obstacle}", error.detail());
+                    return self.truncate(&reason).await;
+                }
             }
-            next = stream.next().await;
         }
     }
 
-    /// Sends events to the caller until the stream from one target ends.
+    /// Sends events to the caller until the stream from one target ends. `first` is
+    /// the first event, if it has been read already.
     async fn forward_events(
         &mut self,
         stream: &mut TargetStream,
-        first: Result<Option<SseEvent>, AttemptError>,
+        mut first: Option<Result<SseEvent, StreamEnd>>,
     ) -> StreamEnd {
-        let mut next = first;
         // Events that the caller has already got are no progress: a target that
         // repeats them forever must not hold the stream.
         let mut last_progress = self.request.gateway.now();
+        let mut max_gap = match first {
+            Some(_) => self.max_gap(),
+            None => self.max_gap().max(self.request.first_byte_limit()),
+        };
         loop {
+            let next = match first.take() {
+                Some(next) => next,
+                None => self.next_event(stream, last_progress, max_gap).await,
+            };
             let event = match next {
-                Ok(Some(event)) => event,
-                Ok(None) => return StreamEnd::Complete,
-                Err(error) => return StreamEnd::Failed(error),
+                Ok(event) => event,
+                Err(end) => return end,
             };
             let is_new = event.id.is_none() || event.id > self.last_id;
             if is_new {
@@ -293,34 +317,51 @@
                     Err(_) => return StreamEnd::DeadlinePassed,
                 }
                 last_progress = self.request.gateway.now();
+                max_gap = self.max_gap();
             }
-            let left = self.request.time_left();
-            if left.is_zero() {
-                return StreamEnd::DeadlinePassed;
-            }
-            let idle = self.request.gateway.now().saturating_sub(last_progress);
-            let max_gap = self.max_gap();
-            if !is_new && idle >= max_gap {
+            if !is_new && self.idle(last_progress) >= max_gap {
                 return StreamEnd::Failed(AttemptError::Lost(
                     "no new event for too long".to_owned(),
                 ));
             }
-            let wait = max_gap.saturating_sub(idle).min(left);
-            next = tokio::select! {
-                biased;
-                () = self.sender.closed() => return StreamEnd::CallerLeft,
-                event = stream.next() => event,
-                has_retry = self.wait_for_gap(wait, left) => {
-                    if !has_retry {
-                        return StreamEnd::DeadlinePassed;
-                    }
-                    self.has_retry = true;
-                    Err(AttemptError::Lost("no event for too long".to_owned()))
-                }
-            };
         }
     }
 
+    /// Waits for the next event or the end of the stream, for `max_gap` since
+    /// `last_progress` at most.
+    async fn next_event(
+        &mut self,
+        stream: &mut TargetStream,
+        last_progress: Time,
+        max_gap: Duration,
+    ) -> Result<SseEvent, StreamEnd> {
+        let left = self.request.time_left();
+        if left.is_zero() {
+            return Err(StreamEnd::DeadlinePassed);
+        }
+        let wait = max_gap.saturating_sub(self.idle(last_progress));
+        let has_retry = tokio::select! {
+            biased;
+            () = self.sender.closed() => return Err(StreamEnd::CallerLeft),
+            event = stream.next() => {
+                return event.map_err(StreamEnd::Failed)?.ok_or(StreamEnd::Complete);
+            }
+            has_retry = self.wait_for_gap(wait.min(left), left) => has_retry,
+        };
+        if !has_retry {
+            return Err(StreamEnd::DeadlinePassed);
+        }
+        self.has_retry = true;
+        Err(StreamEnd::Failed(AttemptError::Lost(
+            "no event for too long".to_owned(),
+        )))
+    }
+
+    /// Returns the time since `last_progress`.
+    fn idle(&self, last_progress: Time) -> Duration {
+        self.request.gateway.now().saturating_sub(last_progress)
+    }
+
     /// Waits until there has been no event for so long that the stream moves to
     /// another target, takes a retry for that from the budget and returns true.
     /// Returns false at the deadline, which is `left` away. `wait` is the time for
@@ -356,47 +397,54 @@
         Duration::MAX
     }
 
-    /// Continues the stream after its last event at another target. Returns `None`
-    /// if it can't be resumed.
-    async fn resume(&mut self, error: &AttemptError) -> Option<TargetStream> {
+    /// Continues the stream after its last event at another target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be resumed, as a label of the metrics.
+    async fn resume(&mut self, error: &AttemptError) -> Result<TargetStream, &'static str> {
         self.request.record_error(error);
         self.request.runs += 1;
         let route = self.request.admission.route.clone();
-        let may_resume = route.retry_policy == RetryPolicy::Resumable && self.last_id.is_some();
-        if !may_resume || self.request.runs >= route.max_attempts {
-            return None;
+        if route.retry_policy != RetryPolicy::Resumable || self.last_id.is_none() {
+            return Err("not_resumable");
+        }
+        if self.request.runs >= route.max_attempts {
+            return Err("no_attempt_left");
         }
         while self.request.time_left() > MIN_RESUME_TIME && !self.sender.is_closed() {
             if !std::mem::take(&mut self.has_retry) && !self.request.take_retry() {
-                return None;
+                return Err("no_retry");
             }
-            let Ok((pick, lease)) = self.request.choose_target() else {
-                return None;
-            };
+            let (pick, lease) = self.request.choose_target().map_err(Refusal::word)?;
             let after = self.last_id;
             let timeout = self.request.time_left();
-            let opened = self.request.send_attempt(&pick, after, timeout).await;
+            let opened = tokio::select! {
+                biased;
+                () = self.sender.closed() => break,
+                opened = self.request.send_attempt(&pick, after, timeout) => opened,
+            };
             self.request.record_load(&pick, &opened);
             match opened {
                 Ok(opened) if opened.response.status().is_success() => {
                     self.request.gateway.metrics.count("resumes", error.label());
-                    return Some(TargetStream::new(&self.request.gateway, opened, lease).1);
+                    return Ok(TargetStream::new(&self.request.gateway, opened, lease).1);
                 }
                 Ok(_) => {
                     lease.end(AttemptOutcome::Failed);
-                    return None;
+                    return Err("failed");
                 }
                 Err(retry_error) => {
                     self.request.record_error(&retry_error);
                     lease.end(retry_error.outcome());
                     if !retry_error.has_not_run() {
-                        return None;
+                        return Err(retry_error.label());
                     }
                     tokio::time::sleep(RESUME_PAUSE).await;
                 }
             }
         }
-        None
+        Err("no_time")
     }
 
     /// Ends the body with an error, so that the caller notices that the stream is
