Serve requests whose head arrives as a stop closes

Callers saw their connection closed without an answer or a refusal when an instance that was stopping closed its connections while a request was on its way: on a kept connection with a part of the head read, and on a connection that had been opened a moment before.

Cause: the graceful shutdown of a connection closes it at once unless a whole head has been read, whatever has arrived of it, and a connection on which nothing has been read yet counts as one without a request.

Evidence: a_head_that_arrives_during_the_stop_is_served_on_a_kept_connection and a_connection_that_was_just_opened_is_served failed before, both with no answer (status 0 for 200). The other two tests of the file passed before and guard the neighbouring cases.

Change: a connection is shut down once no head is being read; one that was never used is given a second for its first request. Heads have their own timeout, and the grace period ends what is left, as before.

After: 4 of 4 tests pass, the stop itself lasts no longer with idle connections.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,6 +29,8 @@
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which a stopping instance checks whether its work is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Time for which a stopping instance waits for the first request on a connection.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// File descriptors that callers' connections leave for those to the store, to
 /// targets and to other instances, and for files.
 const RESERVED_DESCRIPTORS: usize = 600;
@@ -147,9 +149,9 @@
         limits.header_timeout,
         limits.idle_timeout,
     );
-    let shared = gateway.clone();
+    let (shared, requests) = (gateway.clone(), state.clone());
     let service = service_fn(move |request| {
-        let (gateway, guard) = (shared.clone(), state.begin_request());
+        let (gateway, guard) = (shared.clone(), requests.begin_request());
         async move {
             let response = respond(&gateway, request, from, endpoint).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
@@ -163,6 +165,11 @@
     let closing = async {
         // Can't fail: the gateway keeps the sender.
         let _ = phase.wait_for(|p| *p == Phase::Closing).await;
+        // A graceful shutdown would close the connection before it has read a
+        // request whose head is incomplete.
+        while state.expects_request(FIRST_REQUEST_TIMEOUT) {
+            tokio::time::sleep(STOP_POLL).await;
+        }
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -14,7 +14,9 @@
 /// Current activity of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Activity {
-    /// Waiting for a request since this time.
+    /// Waiting for the first request since this time.
+    Unused(Instant),
+    /// Waiting for a further request since this time.
     Idle(Instant),
     /// Receiving a request head whose first byte arrived at this time.
     ReadingHead(Instant),
@@ -28,7 +30,18 @@
 
 impl ConnectionState {
     pub(crate) fn new() -> Self {
-        ConnectionState(Rc::new(Cell::new(Activity::Idle(Instant::now()))))
+        ConnectionState(Rc::new(Cell::new(Activity::Unused(Instant::now()))))
+    }
+
+    /// Returns whether a request is on its way or likely to be: a part of its head
+    /// has arrived, or the connection was opened less than `max_delay` ago and has
+    /// not been used.
+    pub(crate) fn expects_request(&self, max_delay: Duration) -> bool {
+        match self.0.get() {
+            Activity::Unused(since) => since.elapsed() < max_delay,
+            Activity::ReadingHead(_) => true,
+            Activity::Idle(_) | Activity::Serving => false,
+        }
     }
 
     /// Records that a request head is complete. The connection counts as serving
@@ -118,7 +131,7 @@
 
     fn deadline(&self) -> Option<Instant> {
         match self.state.0.get() {
-            Activity::Idle(since) => Some(since + self.idle_timeout),
+            Activity::Unused(since) | Activity::Idle(since) => Some(since + self.idle_timeout),
             Activity::ReadingHead(since) => Some(since + self.head_timeout),
             Activity::Serving => None,
         }
@@ -168,7 +181,7 @@
         match Pin::new(&mut self.tcp).poll_read(context, buffer) {
             Poll::Pending => self.poll_deadline(context),
             Poll::Ready(Ok(())) if buffer.filled().len() > before => {
-                if let Activity::Idle(_) = self.state.0.get() {
+                if let Activity::Unused(_) | Activity::Idle(_) = self.state.0.get() {
                     self.state.0.set(Activity::ReadingHead(Instant::now()));
                 }
                 // Checked after each read, so that a head that arrives byte by byte
