--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -14,7 +14,9 @@
 /// Current activity of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Activity {
-    /// Waiting for a request since this time.
+    /// Waiting for the first request since this time.
+    Unused(Instant),
+    /// Waiting for a further request since this time.
     Idle(Instant),
     /// Receiving a request head whose first byte arrived at this time.
     ReadingHead(Instant),
@@ -58,7 +60,7 @@
 impl ConnectionState {
     pub(crate) fn new() -> Self {
         ConnectionState(Rc::new(StateCells {
-            activity: Cell::new(Activity::Idle(Instant::now())),
+            activity: Cell::new(Activity::Unused(Instant::now())),
             expired: Cell::new(None),
         }))
     }
@@ -76,6 +78,17 @@
         self.0.activity.set(activity);
     }
 
+    /// Returns whether a request is on its way or likely to be: a part of its head
+    /// has arrived, or the connection was opened less than `max_delay` ago and has
+    /// not been used.
+    pub(crate) fn expects_request(&self, max_delay: Duration) -> bool {
+        match self.activity() {
+            Activity::Unused(since) => since.elapsed() < max_delay,
+            Activity::ReadingHead(_) => true,
+            Activity::Idle(_) | Activity::Serving => false,
+        }
+    }
+
     /// Records that a request head is complete. The connection counts as serving
     /// the request until the returned guard is dropped; [`GuardedBody`] keeps it
     /// together with the body of the response.
@@ -164,7 +177,9 @@
     /// Returns the time at which reading fails, and the timeout that expires then.
     fn deadline(&self) -> Option<(Instant, Timeout)> {
         match self.state.activity() {
-            Activity::Idle(since) => Some((since + self.idle_timeout, Timeout::Idle)),
+            Activity::Unused(since) | Activity::Idle(since) => {
+                Some((since + self.idle_timeout, Timeout::Idle))
+            }
             Activity::ReadingHead(since) => Some((since + self.head_timeout, Timeout::Head)),
             Activity::Serving => None,
         }
@@ -222,7 +237,7 @@
         match Pin::new(&mut self.tcp).poll_read(context, buffer) {
             Poll::Pending => self.poll_deadline(context),
             Poll::Ready(Ok(())) if buffer.filled().len() > before => {
-                if let Activity::Idle(_) = self.state.activity() {
+                if let Activity::Unused(_) | Activity::Idle(_) = self.state.activity() {
                     self.state
                         .set_activity(Activity::ReadingHead(Instant::now()));
                 }
