Keep a silent stream until another target takes over

Callers' streams were cut in the middle although their target was still connected and at work. After a gap of 2.5 times the route's goal, 800 ms at least, a resumable stream closed the connection to its target and only then looked for another one. If there was none, if the key or the route no longer admitted the request after a change of the configuration, or if the other target was full, failed or refused, the caller's stream ended incomplete. The operators say now that a sound target may be silent for a second or so, and that its silence is no reason to end a response sooner.

Choose the other target first and leave the silent one once the other has accepted the request or has held it for 250 ms, as two targets may work on one request for less than 400 ms. If the silent target goes on meanwhile, the other one is freed. If the other one doesn't accept, the stream stays; attempts that ran count towards the limit of the route. The gap is 1.5 s at least.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Limit on the bytes of a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -341,6 +342,18 @@
         pick: &Pick,
         after: Option<u64>,
         timeout: Duration,
+    ) -> Result<OpenResponse, AttemptError> {
+        self.send_with(pick, after, timeout, &Notify::new()).await
+    }
+
+    /// Sends the request as [`ForwardedRequest::send_attempt`] does and notifies
+    /// `sent` when the connection is open and sending begins.
+    pub(crate) async fn send_with(
+        &self,
+        pick: &Pick,
+        after: Option<u64>,
+        timeout: Duration,
+        sent: &Notify,
     ) -> Result<OpenResponse, AttemptError> {
         let prompts = self.admission.route.has_prompts;
         let added = AddedHeaders {
@@ -351,7 +364,7 @@
             cache_source: pick.cache_source,
             last_event: after,
         };
-        let readmit = || self.readmit();
+        let readmit = || self.readmit().inspect(|()| sent.notify_one());
         attempt::send(&self.caller_request, pick, &added, timeout, readmit).await
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,9 +5,9 @@
 
 use crate::SharedGateway;
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
-use crate::forward::{ForwardedRequest, RequestCounter};
+use crate::forward::{Choice, ForwardedRequest, RequestCounter};
 use crate::sse::{SseEvent, SseSplitter};
-use decision::{AttemptOutcome, Refusal, RetryPolicy, Time};
+use decision::{AttemptOutcome, Pick, Refusal, RetryPolicy, TargetId, Time};
 use exchange::Reservation;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -19,20 +19,20 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// Events buffered for a slow caller; when the buffer is full, nothing is read
 /// from the target.
 const EVENT_QUEUE: usize = 16;
-/// Time without a new event after which a resumable stream moves to another
-/// target, as a multiple of the route's goal for the gap between events, which the
-/// operators set to 400 ms.
+/// Time without a new event after which another target is asked to continue a
+/// resumable stream, as a multiple of the route's goal for the gap between events,
+/// which the operators set to 400 ms.
 const GAP_FACTOR: f64 = 2.5;
-/// Lower limit of that time.
-const MIN_GAP: Duration = Duration::from_millis(800);
-/// Delay of a timer from which on this instance was not running. What arrived
-/// meanwhile has not been read yet, so that the gap is not the target's.
-const OWN_DELAY: Duration = Duration::from_millis(50);
+/// Lower limit of that time. Sound targets are silent for about a second at times.
+const MIN_GAP: Duration = Duration::from_millis(1_500);
+/// Time for which a silent target and the one that is to continue its stream may
+/// both hold the request; the operators allow 400 ms.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
 /// Time left before the deadline below which a stream is not resumed.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
 /// Pause before a stream is resumed at yet another target, after one that was full
@@ -86,6 +86,7 @@
     /// Keeps the connection open; `None` once the stream is closed.
     driver: Option<exchange::Driver>,
     lease: Option<LeaseGuard>,
+    target: TargetId,
     splitter: SseSplitter,
     memory: Reservation,
     /// Events that have been read and not yet returned.
@@ -107,6 +108,7 @@
         let stream = TargetStream {
             body,
             driver: Some(driver),
+            target: lease.target().clone(),
             lease: Some(lease),
             splitter: SseSplitter::default(),
             memory: gateway.memory.reservation(),
@@ -154,6 +156,10 @@
         }
     }
 
+    fn is_open(&self) -> bool {
+        self.driver.is_some()
+    }
+
     /// Closes the connection, which cancels the request at the target, and ends the
     /// attempt.
     fn end(&mut self, outcome: AttemptOutcome) {
@@ -171,8 +177,8 @@
     opened: OpenResponse,
     lease: LeaseGuard,
 ) -> Result<Response<ResponseBody>, (Box<ForwardedRequest>, AttemptError)> {
-    let target = lease.target().clone();
     let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease);
+    let target = stream.target.clone();
     let first = tokio::select! {
         biased;
         first = stream.next() => first,
@@ -202,7 +208,6 @@
             sender,
             last_id: None,
             events: 0,
-            has_retry: false,
         }
         .run(stream, first)
         .await;
@@ -226,8 +231,6 @@
     last_id: Option<u64>,
     /// Events sent to the caller.
     events: u32,
-    /// Whether a retry was taken from the budget and not used yet.
-    has_retry: bool,
 }
 
 /// Why the stream from one target ended.
@@ -238,8 +241,20 @@
     CallerLeft,
     /// The request's deadline passed.
     DeadlinePassed,
-    /// The connection to the target failed, or no event came for too long.
+    /// The connection to the target failed.
     Failed(AttemptError),
+    /// The target was silent, and another one continues the stream.
+    Replaced(Box<TargetStream>),
+}
+
+/// What ended the time in which two targets held the request.
+enum Overlap {
+    /// The silent target sent an event or the end of the stream.
+    Continued(Option<SseEvent>),
+    /// The other target responded or failed.
+    Responded(Result<OpenResponse, AttemptError>),
+    /// The caller closed its connection.
+    CallerLeft,
 }
 
 impl Relay {
@@ -249,7 +264,7 @@
             let end = self.forward_events(&mut stream, first.take()).await;
             stream.end(match end {
                 StreamEnd::Complete => AttemptOutcome::Completed,
-                StreamEnd::Failed(_) => AttemptOutcome::Broken,
+                StreamEnd::Failed(_) | StreamEnd::Replaced(_) => AttemptOutcome::Broken,
                 StreamEnd::CallerLeft | StreamEnd::DeadlinePassed => AttemptOutcome::Abandoned,
             });
             let error = match end {
@@ -258,6 +273,10 @@
                     return self.request.log_end("caller_left", 200, &Value::Null);
                 }
                 StreamEnd::DeadlinePassed => return self.truncate("time is over").await,
+                StreamEnd::Replaced(successor) => {
+                    stream = *successor;
+                    continue;
+                }
                 StreamEnd::Failed(error) => error,
             };
             self.request
@@ -327,69 +346,125 @@
         }
     }
 
-    /// Waits for the next event or the end of the stream, for `max_gap` since
-    /// `last_progress` at most.
+    /// Waits for the next event or the end of the stream. After `max_gap` since
+    /// `last_progress` another target is asked to continue the stream.
+    ///
+    /// A silent target is left only for another one, because it may still continue.
     async fn next_event(
         &mut self,
         stream: &mut TargetStream,
         last_progress: Time,
         max_gap: Duration,
     ) -> Result<SseEvent, StreamEnd> {
-        let left = self.request.time_left();
-        if left.is_zero() {
-            return Err(StreamEnd::DeadlinePassed);
-        }
-        let wait = max_gap.saturating_sub(self.idle(last_progress));
-        let has_retry = tokio::select! {
-            biased;
-            () = self.sender.closed() => return Err(StreamEnd::CallerLeft),
-            event = stream.next() => {
-                return event.map_err(StreamEnd::Failed)?.ok_or(StreamEnd::Complete);
+        let mut pause = Duration::ZERO;
+        loop {
+            let left = self.request.time_left();
+            if left.is_zero() {
+                return Err(StreamEnd::DeadlinePassed);
             }
-            has_retry = self.wait_for_gap(wait.min(left), left) => has_retry,
-        };
-        if !has_retry {
-            return Err(StreamEnd::DeadlinePassed);
+            let idle = self.idle(last_progress);
+            // Unlimited once a failed successor was the last attempt.
+            let max_gap = max_gap.max(self.max_gap());
+            let wait = max_gap.saturating_sub(idle).max(pause);
+            let target = stream.target.clone();
+            let successor = tokio::select! {
+                biased;
+                () = self.sender.closed() => return Err(StreamEnd::CallerLeft),
+                event = stream.next() => {
+                    return event.map_err(StreamEnd::Failed)?.ok_or(StreamEnd::Complete);
+                }
+                () = tokio::time::sleep(left) => return Err(StreamEnd::DeadlinePassed),
+                successor = self.request.wait_for_successor(&target, wait, MIN_RESUME_TIME) => {
+                    successor
+                }
+            };
+            if let Some(next) = self.try_successor(stream, successor).await {
+                return next;
+            }
+            pause = RESUME_PAUSE;
         }
-        self.has_retry = true;
-        Err(StreamEnd::Failed(AttemptError::Lost(
-            "no event for too long".to_owned(),
-        )))
     }
 
-    /// Returns the time since `last_progress`.
-    fn idle(&self, last_progress: Time) -> Duration {
-        self.request.gateway.now().saturating_sub(last_progress)
+    /// Asks another target to continue the stream of a silent one, which is left
+    /// once the other one has accepted the request. Returns `None` if it doesn't.
+    ///
+    /// A target that has not responded after [`MAX_OVERLAP`] has not refused the
+    /// request either: it holds it, and the silent one is left.
+    async fn try_successor(
+        &mut self,
+        stream: &mut TargetStream,
+        (pick, lease): Choice,
+    ) -> Option<Result<SseEvent, StreamEnd>> {
+        if !self.request.tried.contains(&stream.target) {
+            self.request.tried.push(stream.target.clone());
+        }
+        self.request.record_attempt(&pick);
+        let opened = match self.overlap(stream, &pick).await {
+            Overlap::Responded(opened) => opened,
+            Overlap::Continued(event) => {
+                self.request.runs += 1;
+                return Some(event.ok_or(StreamEnd::Complete));
+            }
+            Overlap::CallerLeft => return Some(Err(StreamEnd::CallerLeft)),
+        };
+        self.request.record_load(&pick, &opened);
+        let error = match opened {
+            Ok(opened) if opened.response.status().is_success() => {
+                self.request.runs += 1;
+                self.request.gateway.metrics.count("resumes", "silent");
+                let successor = TargetStream::new(&self.request.gateway, opened, lease).1;
+                return Some(Err(StreamEnd::Replaced(Box::new(successor))));
+            }
+            Ok(_) => AttemptError::Failed,
+            Err(error) => error,
+        };
+        lease.end(error.outcome());
+        if !error.has_not_run() {
+            self.request.runs += 1;
+        }
+        if !stream.is_open() {
+            return Some(Err(StreamEnd::Failed(error)));
+        }
+        self.request.record_error(&error);
+        None
     }
 
-    /// Waits until there has been no event for so long that the stream moves to
-    /// another target, takes a retry for that from the budget and returns true.
-    /// Returns false at the deadline, which is `left` away. `wait` is the time for
-    /// which the gap may last yet.
-    ///
-    /// Without a retry it waits on, because a silent target may still continue.
-    async fn wait_for_gap(&self, mut wait: Duration, left: Duration) -> bool {
-        let deadline = self.request.gateway.now() + left;
+    /// Sends the request to another target while a silent one may still continue its
+    /// stream, for [`MAX_OVERLAP`] at most.
+    async fn overlap(&self, stream: &mut TargetStream, pick: &Pick) -> Overlap {
+        let sent = Notify::new();
+        let timeout = self.request.time_left();
+        let sending = self.request.send_with(pick, self.last_id, timeout, &sent);
+        let held = async {
+            sent.notified().await;
+            tokio::time::sleep(MAX_OVERLAP).await;
+        };
+        let (mut sending, mut held) = (std::pin::pin!(sending), std::pin::pin!(held));
         loop {
-            let due = self.request.gateway.now() + wait;
-            tokio::time::sleep(wait).await;
-            let now = self.request.gateway.now();
-            if now >= deadline {
-                return false;
-            }
-            let was_running = now.saturating_sub(due) < OWN_DELAY;
-            if was_running && self.request.take_retry() {
-                return true;
+            tokio::select! {
+                biased;
+                () = self.sender.closed() => return Overlap::CallerLeft,
+                event = stream.next(), if stream.is_open() => match event {
+                    Ok(event) => return Overlap::Continued(event),
+                    Err(_) => stream.end(AttemptOutcome::Broken),
+                },
+                opened = sending.as_mut() => return Overlap::Responded(opened),
+                () = held.as_mut(), if stream.is_open() => stream.end(AttemptOutcome::Broken),
             }
-            wait = self.max_gap().min(deadline.saturating_sub(now));
         }
     }
 
-    /// Returns the longest time without a new event before the stream moves to
-    /// another target; unlimited if it can't be resumed.
+    /// Returns the time since `last_progress`.
+    fn idle(&self, last_progress: Time) -> Duration {
+        self.request.gateway.now().saturating_sub(last_progress)
+    }
+
+    /// Returns the longest time without a new event before another target is asked
+    /// to continue the stream; unlimited if it can't be resumed.
     fn max_gap(&self) -> Duration {
         let route = &self.request.admission.route;
         if route.retry_policy == RetryPolicy::Resumable
+            && self.last_id.is_some()
             && self.request.runs + 1 < route.max_attempts
         {
             return route.gap_goal.mul_f64(GAP_FACTOR).max(MIN_GAP);
@@ -413,7 +488,7 @@
             return Err("no_attempt_left");
         }
         while self.request.time_left() > MIN_RESUME_TIME && !self.sender.is_closed() {
-            if !std::mem::take(&mut self.has_retry) && !self.request.take_retry() {
+            if !self.request.take_retry() {
                 return Err("no_retry");
             }
             let (pick, lease) = self.request.choose_target().map_err(Refusal::word)?;
