Follow changes of the limits of connections

An instance closed connections by the limits that were in force when it had accepted them. After a configuration that raised the idle limit, a caller that sent its first request on an open connection, within the newest limit, found it closed; after one that lowered it, new connections were closed by a limit that their callers could not know of yet.

All connections now share limits that follow the configuration in force. The longer of the old and the new limit holds for 5 s after a change.

Without the fix, at platform/tests/connections.rs:

a_raised_idle_limit_holds_for_open_connections panicked: left: 0 right: 200 a_lowered_idle_limit_holds_once_callers_know_of_it panicked: left: 0 right: 200

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -138,15 +138,8 @@
     if let Err(e) = tcp.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY: {e}");
     }
-    let limits = gateway.router.borrow().configuration().map(|c| c.limits);
-    let limits = limits.unwrap_or_default();
     let state = ConnectionState::new();
-    let stream = TimedStream::new(
-        tcp,
-        state.clone(),
-        limits.header_timeout,
-        limits.idle_timeout,
-    );
+    let stream = TimedStream::new(tcp, state.clone(), gateway.limits.clone());
     let (shared, requests) = (gateway.clone(), state.clone());
     let service = service_fn(move |request| {
         let (gateway, guard) = (shared.clone(), requests.begin_request());
@@ -156,7 +149,7 @@
         }
     });
     let connection = http1::Builder::new()
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(gateway.limits.header_bytes().max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut phase = gateway.phase.subscribe();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 use crate::event_log::EventLog;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::timeouts::ConnectionLimits;
 use decision::{
     ApplyOutcome, CopyStatus, Fleet, Listing, Router, RouterBounds, TableCopy, TableRow,
     TableUpdate, TargetId, Time, TransferLimiter,
@@ -65,6 +66,8 @@
     pub(crate) requests: Cell<usize>,
     /// Open connections to the listening sockets, other than the mesh's.
     pub(crate) connections: Cell<usize>,
+    /// Limits of callers' connections.
+    pub(crate) limits: Rc<ConnectionLimits>,
     /// Limit on the memory of responses that are buffered.
     pub(crate) memory: MemoryBudget,
     /// Identifier of this process among those with the instance's name.
@@ -104,6 +107,7 @@
             phase: tokio::sync::watch::Sender::new(Phase::Serving),
             requests: Cell::new(0),
             connections: Cell::new(0),
+            limits: Rc::new(ConnectionLimits::new()),
             memory: MemoryBudget::default(),
             incarnation,
             settings: RefCell::new(settings),
@@ -228,7 +232,11 @@
         match documents::decode_operator_row(row) {
             Ok(OperatorRow::Configuration(configuration)) => {
                 let (version, routes) = (configuration.version, configuration.route_count());
+                let limits = configuration.limits;
                 let is_new = self.router.borrow_mut().configure(*configuration);
+                if is_new {
+                    self.limits.update(limits);
+                }
                 self.metrics
                     .count("configurations", if is_new { "taken" } else { "old" });
                 self.event_log.state_change(&json!({
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -1,5 +1,6 @@
 //! Timeouts of callers' connections.
 
+use decision::CallerLimits;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use std::cell::Cell;
 use std::io;
@@ -11,6 +12,67 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
+/// Time for which callers may still go by limits that have been replaced.
+const LIMIT_GRACE: Duration = Duration::from_secs(5);
+
+/// Limits of callers' connections, which follow the configuration in force.
+///
+/// A limit that is lowered holds after [`LIMIT_GRACE`], when callers know of it.
+#[derive(Debug)]
+pub(crate) struct ConnectionLimits {
+    current: Cell<Option<CallerLimits>>,
+    /// Limits that were replaced last, and the end of their grace period.
+    replaced: Cell<Option<(CallerLimits, Instant)>>,
+}
+
+impl ConnectionLimits {
+    pub(crate) fn new() -> Self {
+        ConnectionLimits {
+            current: Cell::default(),
+            replaced: Cell::default(),
+        }
+    }
+
+    /// Replaces the limits by those of a new configuration.
+    pub(crate) fn update(&self, limits: CallerLimits) {
+        match self.current.get() {
+            Some(current) if current == limits => return,
+            Some(current) => {
+                let replaced = CallerLimits {
+                    header_timeout: self.header_timeout(),
+                    idle_timeout: self.idle_timeout(),
+                    ..current
+                };
+                let end = Instant::now() + LIMIT_GRACE;
+                self.replaced.set(Some((replaced, end)));
+            }
+            None => {}
+        }
+        self.current.set(Some(limits));
+    }
+
+    /// Returns the size of the buffer that a request head must fit in.
+    pub(crate) fn header_bytes(&self) -> usize {
+        self.current.get().unwrap_or_default().header_bytes
+    }
+
+    fn header_timeout(&self) -> Duration {
+        self.longest(|limits| limits.header_timeout)
+    }
+
+    fn idle_timeout(&self) -> Duration {
+        self.longest(|limits| limits.idle_timeout)
+    }
+
+    fn longest(&self, timeout: impl Fn(&CallerLimits) -> Duration) -> Duration {
+        let current = timeout(&self.current.get().unwrap_or_default());
+        match self.replaced.get() {
+            Some((replaced, end)) if Instant::now() < end => current.max(timeout(&replaced)),
+            _ => current,
+        }
+    }
+}
+
 /// Current activity of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Activity {
@@ -137,8 +199,7 @@
 pub(crate) struct TimedStream {
     tcp: TcpStream,
     state: ConnectionState,
-    head_timeout: Duration,
-    idle_timeout: Duration,
+    limits: Rc<ConnectionLimits>,
     timer: Pin<Box<Sleep>>,
     /// Start of the period in which no write has succeeded.
     stalled_since: Option<Instant>,
@@ -148,15 +209,13 @@
     pub(crate) fn new(
         tcp: TcpStream,
         state: ConnectionState,
-        head_timeout: Duration,
-        idle_timeout: Duration,
+        limits: Rc<ConnectionLimits>,
     ) -> Self {
         TimedStream {
             tcp,
             state,
-            head_timeout,
-            idle_timeout,
-            timer: Box::pin(tokio::time::sleep(idle_timeout)),
+            timer: Box::pin(tokio::time::sleep(limits.idle_timeout())),
+            limits,
             stalled_since: None,
         }
     }
@@ -164,8 +223,10 @@
     /// Returns the time at which reading fails, and the timeout that expires then.
     fn deadline(&self) -> Option<(Instant, Timeout)> {
         match self.state.activity() {
-            Activity::Idle(since) => Some((since + self.idle_timeout, Timeout::Idle)),
-            Activity::ReadingHead(since) => Some((since + self.head_timeout, Timeout::Head)),
+            Activity::Idle(since) => Some((since + self.limits.idle_timeout(), Timeout::Idle)),
+            Activity::ReadingHead(since) => {
+                Some((since + self.limits.header_timeout(), Timeout::Head))
+            }
             Activity::Serving => None,
         }
     }
@@ -206,7 +267,7 @@
             return result;
         }
         let since = *self.stalled_since.get_or_insert_with(Instant::now);
-        let deadline = since + self.idle_timeout;
+        let deadline = since + self.limits.idle_timeout();
         let passed = self.poll_timer(deadline, context);
         passed.map(|()| Err(self.expire(Timeout::Write)))
     }
