Take no status alone for "did not run"

The statuses 408, 429 and 503 promise callers that the request did not run. A target that answered with one of them and did not say that it had not run the request was believed on the caller's behalf: its response was passed on, with its digest, although the request may have run. Callers repeat orders after such a promise. The attempt now counts as lost; the caller gets a 502, which promises nothing.

The test without the fix:

a_status_alone_does_not_tell_that_the_request_did_not_run: /order/1: HTTP/1.1 408 Any left: (408, 1) right: (502, 1)

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -176,5 +176,8 @@
         ResponseKind::Mismatched => Err(AttemptError::Lost(
             "the answer is for another request".to_owned(),
         )),
+        ResponseKind::Ambiguous => Err(AttemptError::Lost(
+            "the answer does not say whether the request ran".to_owned(),
+        )),
     }
 }
