Check the echo before a refusal of a target counts

On the project's own interface the client of plain services read x-not-run before it compared the echoed ID, and the client of engines did not compare the one of the head at all. A refusal of another request was taken for one of this request, which then ran a second time at another target. Both now check the head in one function, the ID first.

The test without the fix:

a_refusal_of_another_request_is_no_promise: x-request-id: a0 left: true right: false

The other tests of the file passed before: errors are no part of a stream, and no response cut in its head or body, or by a reset, is complete.

--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -63,13 +63,8 @@
     let connection = http::connect(request.address).await?;
     let _ = sender.send_async(AttemptEvent::Sent).await;
     let (response, _driver) = connection.send(http_request).await?;
+    http::check_head(&response, &request.attempt)?;
     let status = response.status().as_u16();
-    if exchange::header_or_empty(&response, http::NOT_RUN) == "true" {
-        return Err(AttemptError::NotRun {
-            connect_failed: false,
-            message: format!("the engine refused with status {status}"),
-        });
-    }
     let mut body = response.into_body();
     if status != 200 {
         let message = read_error(body).await;
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -3,9 +3,9 @@
 use crate::{AttemptEvent, TargetRequest};
 use exchange::Connection;
 use http_body_util::Full;
-use hyper::Request;
-use hyper::body::Bytes;
+use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
+use hyper::{Request, Response};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,13 +19,13 @@
 pub(crate) const ERROR_MAX: usize = 4 << 10;
 
 /// Header with the ID of the attempt, which the response repeats.
-pub(crate) const REQUEST_ID: &str = "x-request-id";
+const REQUEST_ID: &str = "x-request-id";
 /// Header with the priority of the request.
 pub(crate) const PRIORITY: &str = "x-priority";
 /// Header with the number of events at the start of the response to skip.
 pub(crate) const RESUME_FROM: &str = "x-resume-from";
 /// Header with which a target reports that it did not run the request.
-pub(crate) const NOT_RUN: &str = "x-not-run";
+const NOT_RUN: &str = "x-not-run";
 
 /// Why an attempt ended without a complete response.
 pub(crate) enum AttemptError {
@@ -91,6 +91,25 @@
         })
 }
 
+/// Fails if the response belongs to another request, or reports that this one did
+/// not run.
+pub(crate) fn check_head(response: &Response<Incoming>, attempt: &str) -> Result<(), AttemptError> {
+    let echoes = response.headers().get_all(REQUEST_ID).iter();
+    let mut echoes = echoes.filter(|echo| !echo.is_empty());
+    if echoes.any(|echo| echo.as_bytes() != attempt.as_bytes()) {
+        return Err(AttemptError::Disconnected(
+            "the answer is for another request".to_owned(),
+        ));
+    }
+    if exchange::header_or_empty(response, NOT_RUN) == "true" {
+        return Err(AttemptError::NotRun {
+            connect_failed: false,
+            message: format!("refused with status {}", response.status().as_u16()),
+        });
+    }
+    Ok(())
+}
+
 /// Spawns a task that runs one attempt and sends its events.
 pub(crate) fn spawn_attempt<F>(run: impl FnOnce(flume::Sender<AttemptEvent>) -> F) -> crate::Attempt
 where
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -44,18 +44,7 @@
     let connection = http::connect(request.address).await?;
     let _ = sender.send_async(AttemptEvent::Sent).await;
     let (response, _driver) = connection.send(http_request).await?;
-    if exchange::header_or_empty(&response, http::NOT_RUN) == "true" {
-        return Err(AttemptError::NotRun {
-            connect_failed: false,
-            message: "the service says that it did not run".to_owned(),
-        });
-    }
-    let echoed_id = exchange::header_or_empty(&response, http::REQUEST_ID);
-    if !echoed_id.is_empty() && echoed_id != request.attempt {
-        return Err(AttemptError::Disconnected(
-            "the answer is for another request".to_owned(),
-        ));
-    }
+    http::check_head(&response, &request.attempt)?;
     let status = response.status().as_u16();
     let content_type = exchange::header_or_empty(&response, "content-type").into();
     // A body that is shorter than its content length is an error here.
