Treat a stream that ends inside an event as cut

Bytes after the last whole event were passed on and the stream ended as complete, wherever its target had stopped: callers got part of an event and a proper end. The same stream was not resumed where it could have been. What follows the last event may now only be line ends; anything else is a failure of the target, after which a resumable stream goes on at another one and any other ends without its last chunk.

That failure is found together with the events before it. hyper drops what it has buffered when a body fails, so that these events, and even the head of the response, were lost; the failure now waits until they are flushed.

The tests without the fix:

a_stream_that_ends_inside_an_event_is_incomplete: assertion failed: !response.is_complete: Length a_stream_that_ends_inside_an_event_resumes_at_another_target: Length left: "... id: 3\ndata: piece 3\n\nid: 4\ndata: pie" right: "... id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n..."

and the first one without the flush:

left: "" right: "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3..."

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -65,6 +65,8 @@
 /// Body whose frames arrive through a channel.
 struct ChannelBody {
     frames: mpsc::Receiver<Result<Bytes, Truncated>>,
+    /// Error to be returned after the frames before it have been flushed.
+    error: Option<Truncated>,
 }
 
 impl Body for ChannelBody {
@@ -75,11 +77,26 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        let frame = self.frames.poll_recv(context);
-        frame.map(|f| f.map(|f| f.map(Frame::data)))
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match self.frames.poll_recv(context) {
+            // The server drops what it has buffered when the body fails, and flushes
+            // it when the body is pending.
+            Poll::Ready(Some(Err(error))) => {
+                self.error = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            frame => frame.map(|f| f.map(|f| f.map(Frame::data))),
+        }
     }
 }
 
+fn lost(message: &str) -> AttemptError {
+    AttemptError::Lost(message.to_owned())
+}
+
 /// Stream of events from one target.
 struct TargetStream {
     body: Incoming,
@@ -141,19 +158,27 @@
                 Some(Err(e)) => return Err(AttemptError::Lost(e.to_string())),
                 None => {
                     self.is_finished = true;
-                    let remainder = Bytes::copy_from_slice(self.splitter.remainder());
-                    if !remainder.is_empty() {
-                        let event = SseEvent {
-                            id: None,
-                            bytes: remainder,
-                        };
-                        return Ok(Some(event));
-                    }
+                    return self.finish();
                 }
             }
         }
     }
 
+    /// Returns the line ends that follow the last event, if there are any.
+    fn finish(&self) -> Result<Option<SseEvent>, AttemptError> {
+        let remainder = self.splitter.remainder();
+        if remainder.iter().any(|byte| !b"\r\n".contains(byte)) {
+            return Err(lost("the stream ended inside an event"));
+        }
+        if remainder.is_empty() {
+            return Ok(None);
+        }
+        Ok(Some(SseEvent {
+            id: None,
+            bytes: Bytes::copy_from_slice(remainder),
+        }))
+    }
+
     /// Closes the connection, which cancels the request at the target, and ends the
     /// attempt.
     fn end(&mut self, outcome: AttemptOutcome) {
@@ -203,7 +228,11 @@
         .run(stream, first)
         .await;
     });
-    let mut response = Response::new(ChannelBody { frames }.boxed_unsync());
+    let body = ChannelBody {
+        frames,
+        error: None,
+    };
+    let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = parts.status;
     *response.headers_mut() = requests::end_to_end_headers(&parts.headers);
     response.headers_mut().remove(header::CONTENT_LENGTH);
