Fail a stream that ends before its first event

A target that wrote the head of a stream without a length and closed its connection left its caller with a complete, empty 200. Such an attempt has failed: it is repeated where the request may run again, and answered with a 502 elsewhere. A stream that continues after a known event may have none left, if a length or a last chunk marks its end.

The tests without the fix:

The second one cuts each kind of response at each of its bytes, by a close and by a reset. In heads, and in bodies with a length or chunks that are no streams, it found no fault: hyper rejects a head without its blank line. The tests on contradictory lengths and on bodies that end with their connection passed before, too.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -109,6 +109,11 @@
     events: VecDeque<SseEvent>,
     /// Whether the body has ended.
     is_finished: bool,
+    /// Whether no event has arrived.
+    is_empty: bool,
+    /// Whether the stream may end without a new event: it continues another one, and
+    /// its end is marked.
+    may_be_empty: bool,
 }
 
 impl TargetStream {
@@ -116,6 +121,7 @@
         gateway: &SharedGateway,
         opened: OpenResponse,
         lease: LeaseGuard,
+        is_resumed: bool,
     ) -> (hyper::http::response::Parts, TargetStream) {
         let OpenResponse {
             response, driver, ..
@@ -129,6 +135,8 @@
             memory: gateway.memory.reservation(),
             events: VecDeque::new(),
             is_finished: false,
+            is_empty: true,
+            may_be_empty: is_resumed && requests::has_marked_end(&parts.headers),
         };
         (parts, stream)
     }
@@ -150,6 +158,7 @@
                     };
                     let events = self.splitter.push(&bytes);
                     let events = events.map_err(|e| AttemptError::Lost(e.to_owned()))?;
+                    self.is_empty &= events.is_empty();
                     self.events.extend(events);
                     if !self.memory.try_resize(self.splitter.capacity()) {
                         return Err(exchange::Error::TooLarge.into());
@@ -170,7 +179,7 @@
         if remainder.iter().any(|byte| !b"\r\n".contains(byte)) {
             return Err(lost("the stream ended inside an event"));
         }
-        if remainder.is_empty() {
+        if remainder.is_empty() || self.is_empty {
             return Ok(None);
         }
         Ok(Some(SseEvent {
@@ -196,9 +205,14 @@
     opened: OpenResponse,
     lease: LeaseGuard,
 ) -> Result<Response<ResponseBody>, (Box<ForwardedRequest>, AttemptError)> {
-    let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease);
+    let is_resumed = request.head.last_event.is_some();
+    let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease, is_resumed);
     let first = tokio::time::timeout(request.first_byte_timeout(), stream.next()).await;
     let first = match first {
+        Ok(Ok(None)) if !stream.may_be_empty => {
+            stream.end(AttemptOutcome::Broken);
+            return Err((Box::new(request), lost("the stream has no event")));
+        }
         Ok(Ok(first)) => first,
         Ok(Err(error)) => {
             stream.end(AttemptOutcome::Broken);
@@ -409,7 +423,7 @@
             match opened {
                 Ok(opened) if opened.response.status().is_success() => {
                     self.request.gateway.metrics.count("resumes", error.label());
-                    return Some(TargetStream::new(&self.request.gateway, opened, lease).1);
+                    return Some(TargetStream::new(&self.request.gateway, opened, lease, true).1);
                 }
                 Ok(_) => {
                     lease.end(AttemptOutcome::Failed);
