Repeat no event without an id after a stream resumes

An event without an id counted as new wherever it came. A target that begins its stream anew, instead of after the last event, has the events with known ids dropped, but those without one reached the caller twice. An event without an id is now as new as the one before it.

The test without the fix:

a_stream_that_starts_anew_repeats_no_event left: "... data: no number\n\nid: 3\ndata: piece 3\n\ndata: no number\n\n id: 4 ..." right: "... data: no number\n\nid: 3\ndata: piece 3\n\nid: 4 ..."

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -317,13 +317,15 @@
         // Events that the caller has already got are no progress: a target that
         // repeats them forever must not hold the stream.
         let mut last_progress = self.request.gateway.now();
+        // An event without an id is as new as the one before it.
+        let mut is_new = self.last_id.is_none();
         loop {
             let event = match next {
                 Ok(Some(event)) => event,
                 Ok(None) => return StreamEnd::Complete,
                 Err(error) => return StreamEnd::Failed(error),
             };
-            let is_new = event.id.is_none() || event.id > self.last_id;
+            is_new = event.id.map_or(is_new, |id| Some(id) > self.last_id);
             if is_new {
                 self.last_id = event.id.or(self.last_id);
                 self.events += 1;
