Continue a stream only with events of its own kind

A stream that had begun and broke off was continued with any 2xx response of the next target, whatever its content type, encoding or status, and it ended as complete if that response had no event, also if only the end of the connection ended it. Callers found the bytes of an error document in their stream, or a proper end before its last piece. Errors with a status of their own did end the stream as cut before.

Now the response must be a 200 with the content type and encoding of the first one. If only the end of its connection ends it, it must bring a new event; otherwise the stream has failed again. On streaming routes, a first response that declares another content type than a stream's is collected and passed on whole.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -300,7 +300,10 @@
     }
 
     fn is_stream(&self, opened: &OpenResponse) -> bool {
-        self.admission.route.retry_policy.is_stream() && opened.response.status().is_success()
+        let response = &opened.response;
+        self.admission.route.retry_policy.is_stream()
+            && response.status().is_success()
+            && requests::is_event_stream(response.headers())
     }
 
     /// Collects the body of a response that is not a stream.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming};
-use hyper::{Response, header};
+use hyper::{HeaderMap, Response, StatusCode, header};
 use platform::requests;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
@@ -230,11 +230,20 @@
         .record_latency("first_event", gateway.now().saturating_sub(request.arrived));
     let (sender, frames) = mpsc::channel(EVENT_QUEUE);
     let counted = RequestCounter::new(&gateway);
+    let body = ChannelBody {
+        frames,
+        error: None,
+    };
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = requests::end_to_end_headers(&parts.headers);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
     tokio::task::spawn_local(async move {
         let _counted = counted;
         Relay {
             request,
             sender,
+            headers: parts.headers,
             last_id: None,
             events: 0,
             has_retry: false,
@@ -242,14 +251,6 @@
         .run(stream, first)
         .await;
     });
-    let body = ChannelBody {
-        frames,
-        error: None,
-    };
-    let mut response = Response::new(body.boxed_unsync());
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = requests::end_to_end_headers(&parts.headers);
-    response.headers_mut().remove(header::CONTENT_LENGTH);
     Ok(response)
 }
 
@@ -257,6 +258,8 @@
 struct Relay {
     request: ForwardedRequest,
     sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    /// Headers of the first target's response.
+    headers: HeaderMap,
     /// Id of the last event that was sent to the caller.
     last_id: Option<u64>,
     /// Events sent to the caller.
@@ -319,13 +322,18 @@
         let mut last_progress = self.request.gateway.now();
         // An event without an id is as new as the one before it.
         let mut is_new = self.last_id.is_none();
+        let mut has_new = false;
         loop {
             let event = match next {
                 Ok(Some(event)) => event,
+                Ok(None) if !has_new && !stream.may_be_empty => {
+                    return StreamEnd::Failed(lost("the resumed stream has no new event"));
+                }
                 Ok(None) => return StreamEnd::Complete,
                 Err(error) => return StreamEnd::Failed(error),
             };
             is_new = event.id.map_or(is_new, |id| Some(id) > self.last_id);
+            has_new |= is_new;
             if is_new {
                 self.last_id = event.id.or(self.last_id);
                 self.events += 1;
@@ -423,7 +431,7 @@
             let opened = self.request.send_attempt(&pick, after, timeout).await;
             self.request.record_load(&pick, &opened);
             match opened {
-                Ok(opened) if opened.response.status().is_success() => {
+                Ok(opened) if self.can_continue(&opened) => {
                     self.request.gateway.metrics.count("resumes", error.label());
                     return Some(TargetStream::new(&self.request.gateway, opened, lease, true).1);
                 }
@@ -444,6 +452,13 @@
         None
     }
 
+    /// Returns whether a response can continue the stream that the caller gets.
+    fn can_continue(&self, opened: &OpenResponse) -> bool {
+        let response = &opened.response;
+        response.status() == StatusCode::OK
+            && requests::is_same_format(&self.headers, response.headers())
+    }
+
     /// Ends the body with an error, so that the caller notices that the stream is
     /// incomplete.
     async fn truncate(self, reason: &str) {
