Pass on no response that follows inside a stream

A stream whose end is the end of its connection took in whatever its target wrote behind it, such as the response to an earlier request: callers found its head among their events. No line of an event begins like the first line of a response, so that a stream with such a line is cut before that event.

What follows a stream with a length or a last chunk was dropped before, too.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -39,6 +39,9 @@
 /// or could not be reached.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
+/// Start of the first line of a response.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
+
 /// Body of a response to a caller.
 pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, Truncated>;
 
@@ -97,6 +100,12 @@
     AttemptError::Lost(message.to_owned())
 }
 
+/// Returns whether a line of an event is the first line of a response.
+fn has_response_head(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(STATUS_LINE))
+}
+
 /// Stream of events from one target.
 struct TargetStream {
     body: Incoming,
@@ -145,8 +154,12 @@
     /// properly.
     async fn next(&mut self) -> Result<Option<SseEvent>, AttemptError> {
         loop {
-            if let Some(event) = self.events.pop_front() {
-                return Ok(Some(event));
+            match self.events.pop_front() {
+                Some(event) if has_response_head(&event.bytes) => {
+                    return Err(lost("another answer follows in the stream"));
+                }
+                Some(event) => return Ok(Some(event)),
+                None => {}
             }
             if self.is_finished {
                 return Ok(None);
