--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming};
-use hyper::{Response, header};
+use hyper::{HeaderMap, Response, StatusCode, header};
 use platform::requests;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
@@ -39,6 +39,9 @@
 /// or could not be reached.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
+/// Start of the first line of a response.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
+
 /// Body of a response to a caller.
 pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, Truncated>;
 
@@ -65,6 +68,8 @@
 /// Body whose frames arrive through a channel.
 struct ChannelBody {
     frames: mpsc::Receiver<Result<Bytes, Truncated>>,
+    /// Error to be returned after the frames before it have been flushed.
+    error: Option<Truncated>,
 }
 
 impl Body for ChannelBody {
@@ -75,11 +80,32 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        let frame = self.frames.poll_recv(context);
-        frame.map(|f| f.map(|f| f.map(Frame::data)))
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match self.frames.poll_recv(context) {
+            // The server drops what it has buffered when the body fails, and flushes
+            // it when the body is pending.
+            Poll::Ready(Some(Err(error))) => {
+                self.error = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            frame => frame.map(|f| f.map(|f| f.map(Frame::data))),
+        }
     }
 }
 
+fn lost(message: &str) -> AttemptError {
+    AttemptError::Lost(message.to_owned())
+}
+
+/// Returns whether a line of an event is the first line of a response.
+fn has_response_head(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(STATUS_LINE))
+}
+
 /// Stream of events from one target.
 struct TargetStream {
     body: Incoming,
@@ -93,6 +119,11 @@
     events: VecDeque<SseEvent>,
     /// Whether the body has ended.
     is_finished: bool,
+    /// Whether no event has arrived.
+    is_empty: bool,
+    /// Whether the stream may end without a new event: it continues another one, and
+    /// its end is marked.
+    may_be_empty: bool,
 }
 
 impl TargetStream {
@@ -100,6 +131,7 @@
         gateway: &SharedGateway,
         opened: OpenResponse,
         lease: LeaseGuard,
+        is_resumed: bool,
     ) -> (hyper::http::response::Parts, TargetStream) {
         let OpenResponse {
             response, driver, ..
@@ -114,6 +146,8 @@
             memory: gateway.memory.reservation(),
             events: VecDeque::new(),
             is_finished: false,
+            is_empty: true,
+            may_be_empty: is_resumed && requests::has_marked_end(&parts.headers),
         };
         (parts, stream)
     }
@@ -122,8 +156,12 @@
     /// properly.
     async fn next(&mut self) -> Result<Option<SseEvent>, AttemptError> {
         loop {
-            if let Some(event) = self.events.pop_front() {
-                return Ok(Some(event));
+            match self.events.pop_front() {
+                Some(event) if has_response_head(&event.bytes) => {
+                    return Err(lost("another answer follows in the stream"));
+                }
+                Some(event) => return Ok(Some(event)),
+                None => {}
             }
             if self.is_finished {
                 return Ok(None);
@@ -135,6 +173,7 @@
                     };
                     let events = self.splitter.push(&bytes);
                     let events = events.map_err(|e| AttemptError::Lost(e.to_owned()))?;
+                    self.is_empty &= events.is_empty();
                     self.events.extend(events);
                     if !self.memory.try_resize(self.splitter.capacity()) {
                         return Err(exchange::Error::TooLarge.into());
@@ -143,19 +182,27 @@
                 Some(Err(e)) => return Err(AttemptError::Lost(e.to_string())),
                 None => {
                     self.is_finished = true;
-                    let remainder = Bytes::copy_from_slice(self.splitter.remainder());
-                    if !remainder.is_empty() {
-                        let event = SseEvent {
-                            id: None,
-                            bytes: remainder,
-                        };
-                        return Ok(Some(event));
-                    }
+                    return self.finish();
                 }
             }
         }
     }
 
+    /// Returns the line ends that follow the last event, if there are any.
+    fn finish(&self) -> Result<Option<SseEvent>, AttemptError> {
+        let remainder = self.splitter.remainder();
+        if remainder.iter().any(|byte| !b"\r\n".contains(byte)) {
+            return Err(lost("the stream ended inside an event"));
+        }
+        if remainder.is_empty() || self.is_empty {
+            return Ok(None);
+        }
+        Ok(Some(SseEvent {
+            id: None,
+            bytes: Bytes::copy_from_slice(remainder),
+        }))
+    }
+
     fn is_open(&self) -> bool {
         self.driver.is_some()
     }
@@ -177,7 +224,8 @@
     opened: OpenResponse,
     lease: LeaseGuard,
 ) -> Result<Response<ResponseBody>, (Box<ForwardedRequest>, AttemptError)> {
-    let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease);
+    let is_resumed = request.head.last_event.is_some();
+    let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease, is_resumed);
     let target = stream.target.clone();
     let first = tokio::select! {
         biased;
@@ -188,6 +236,10 @@
             Err(no_event())
         }
     };
+    let first = match first {
+        Ok(None) if !stream.may_be_empty => Err(lost("the stream has no event")),
+        first => first,
+    };
     let first = match first {
         Ok(first) => first,
         Err(error) => {
@@ -201,21 +253,26 @@
         .record_latency("first_event", gateway.now().saturating_sub(request.arrived));
     let (sender, frames) = mpsc::channel(EVENT_QUEUE);
     let counted = RequestCounter::new(&gateway);
+    let body = ChannelBody {
+        frames,
+        error: None,
+    };
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = requests::end_to_end_headers(&parts.headers);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
     tokio::task::spawn_local(async move {
         let _counted = counted;
         Relay {
             request,
             sender,
+            headers: parts.headers,
             last_id: None,
             events: 0,
         }
         .run(stream, first)
         .await;
     });
-    let mut response = Response::new(ChannelBody { frames }.boxed_unsync());
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = requests::end_to_end_headers(&parts.headers);
-    response.headers_mut().remove(header::CONTENT_LENGTH);
     Ok(response)
 }
 
@@ -227,6 +284,8 @@
 struct Relay {
     request: ForwardedRequest,
     sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    /// Headers of the first target's response.
+    headers: HeaderMap,
     /// Id of the last event that was sent to the caller.
     last_id: Option<u64>,
     /// Events sent to the caller.
@@ -314,6 +373,9 @@
             Some(_) => self.max_gap(),
             None => self.max_gap().max(self.request.first_byte_limit()),
         };
+        // An event without an id is as new as the one before it.
+        let mut is_new = self.last_id.is_none();
+        let mut has_new = false;
         loop {
             let next = match first.take() {
                 Some(next) => next,
@@ -321,9 +383,13 @@
             };
             let event = match next {
                 Ok(event) => event,
+                Err(StreamEnd::Complete) if !has_new && !stream.may_be_empty => {
+                    return StreamEnd::Failed(lost("the resumed stream has no new event"));
+                }
                 Err(end) => return end,
             };
-            let is_new = event.id.is_none() || event.id > self.last_id;
+            is_new = event.id.map_or(is_new, |id| Some(id) > self.last_id);
+            has_new |= is_new;
             if is_new {
                 self.last_id = event.id.or(self.last_id);
                 self.events += 1;
@@ -409,10 +475,10 @@
         };
         self.request.record_load(&pick, &opened);
         let error = match opened {
-            Ok(opened) if opened.response.status().is_success() => {
+            Ok(opened) if self.can_continue(&opened) => {
                 self.request.runs += 1;
                 self.request.gateway.metrics.count("resumes", "silent");
-                let successor = TargetStream::new(&self.request.gateway, opened, lease).1;
+                let successor = TargetStream::new(&self.request.gateway, opened, lease, true).1;
                 return Some(Err(StreamEnd::Replaced(Box::new(successor))));
             }
             Ok(_) => AttemptError::Failed,
@@ -501,9 +567,9 @@
             };
             self.request.record_load(&pick, &opened);
             match opened {
-                Ok(opened) if opened.response.status().is_success() => {
+                Ok(opened) if self.can_continue(&opened) => {
                     self.request.gateway.metrics.count("resumes", error.label());
-                    return Ok(TargetStream::new(&self.request.gateway, opened, lease).1);
+                    return Ok(TargetStream::new(&self.request.gateway, opened, lease, true).1);
                 }
                 Ok(_) => {
                     lease.end(AttemptOutcome::Failed);
@@ -522,6 +588,13 @@
         Err("no_time")
     }
 
+    /// Returns whether a response can continue the stream that the caller gets.
+    fn can_continue(&self, opened: &OpenResponse) -> bool {
+        let response = &opened.response;
+        response.status() == StatusCode::OK
+            && requests::is_same_format(&self.headers, response.headers())
+    }
+
     /// Ends the body with an error, so that the caller notices that the stream is
     /// incomplete.
     async fn truncate(self, reason: &str) {
