Serve a head that arrived while the instance paused

A whole request got no response and its connection was closed if the instance was not running, for longer than the timeout of a head, between two reads of that head: the timeout was checked before what had arrived meanwhile was used.

A deadline that passed 50 ms ago or more, unnoticed, says that the instance was not running. What arrived meanwhile is then read for another 200 ms before the connection is closed. A head that is sent byte by byte still times out.

--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -15,6 +15,11 @@
 /// Time for which callers may still go by limits that have been replaced.
 const LIMIT_GRACE: Duration = Duration::from_secs(5);
 
+/// Delay of a timer from which on this instance was not running.
+const OWN_DELAY: Duration = Duration::from_millis(50);
+/// Time to read what arrived while this instance was not running.
+const CATCH_UP_TIME: Duration = Duration::from_millis(200);
+
 /// Limits of callers' connections, which follow the configuration in force.
 ///
 /// A limit that is lowered holds after [`LIMIT_GRACE`], when callers know of it.
@@ -201,6 +206,8 @@
     state: ConnectionState,
     limits: Rc<ConnectionLimits>,
     timer: Pin<Box<Sleep>>,
+    /// End of the time to read what arrived while this instance was not running.
+    caught_up: Option<Instant>,
     /// Start of the period in which no write has succeeded.
     stalled_since: Option<Instant>,
 }
@@ -216,19 +223,31 @@
             state,
             timer: Box::pin(tokio::time::sleep(limits.idle_timeout())),
             limits,
+            caught_up: None,
             stalled_since: None,
         }
     }
 
     /// Returns the time at which reading fails, and the timeout that expires then.
     fn deadline(&self) -> Option<(Instant, Timeout)> {
-        match self.state.activity() {
-            Activity::Idle(since) => Some((since + self.limits.idle_timeout(), Timeout::Idle)),
-            Activity::ReadingHead(since) => {
-                Some((since + self.limits.header_timeout(), Timeout::Head))
-            }
-            Activity::Serving => None,
+        let (deadline, timeout) = match self.state.activity() {
+            Activity::Idle(since) => (since + self.limits.idle_timeout(), Timeout::Idle),
+            Activity::ReadingHead(since) => (since + self.limits.header_timeout(), Timeout::Head),
+            Activity::Serving => return None,
+        };
+        let deadline = self.caught_up.map_or(deadline, |end| end.max(deadline));
+        Some((deadline, timeout))
+    }
+
+    /// Returns whether a deadline has passed while this instance was not running,
+    /// and extends it then. What arrived meanwhile has not been read yet.
+    fn catch_up(&mut self, deadline: Instant) -> bool {
+        let now = Instant::now();
+        let was_away = now.saturating_duration_since(deadline) >= OWN_DELAY;
+        if was_away {
+            self.caught_up = Some(now + CATCH_UP_TIME);
         }
+        was_away
     }
 
     /// Records which timeout has expired and returns the error that ends the
@@ -241,11 +260,14 @@
     /// Fails if the deadline for reading has passed; otherwise wakes the task at
     /// the deadline.
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Some((deadline, timeout)) = self.deadline() else {
-            return Poll::Pending;
-        };
-        let passed = self.poll_timer(deadline, context);
-        passed.map(|()| Err(self.expire(timeout)))
+        while let Some((deadline, timeout)) = self.deadline() {
+            match self.poll_timer(deadline, context) {
+                Poll::Ready(()) if self.catch_up(deadline) => {}
+                Poll::Ready(()) => return Poll::Ready(Err(self.expire(timeout))),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        Poll::Pending
     }
 
     fn poll_timer(&mut self, deadline: Instant, context: &mut Context<'_>) -> Poll<()> {
@@ -290,7 +312,9 @@
                 // Checked after each read, so that a head that arrives byte by byte
                 // can't avoid the timeout.
                 match self.deadline() {
-                    Some((deadline, timeout)) if deadline <= Instant::now() => {
+                    Some((deadline, timeout))
+                        if deadline <= Instant::now() && !self.catch_up(deadline) =>
+                    {
                         Poll::Ready(Err(self.expire(timeout)))
                     }
                     _ => Poll::Ready(Ok(())),
