Heed targets that say they leave

Callers: the operators now bind an instance that has passed on an answer with `Server-Leaving: 1`: two seconds later none of its requests may reach that target (DRAIN). Nothing read the header, and the target's entry in the store may tell of it seconds later or not at all.

The router keeps it for the process of the target (its start time), also while the target has no entry, and chooses that process no more; a process that starts anew is free of it. An attempt whose target was chosen before is checked again once its connection is open and goes elsewhere as `withheld`, which counts neither as a failure of the target nor as a retry. The target stays in the mean of its pool.

--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -147,6 +147,7 @@
 fn usable<'a>(router: &'a Router, now: Time, query: &'a TargetQuery<'_>) -> Vec<Candidate<'a>> {
     let is_open = |(id, state): &Candidate<'_>| {
         state.entry.stage == TargetStage::Ready
+            && !state.availability.is_leaving
             && !router.evacuated.contains(&state.entry.domain)
             && !query.tried.contains(id)
             && allows_cold(router, now, query.service, id, state)
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -9,7 +9,7 @@
 
 pub use choose::{Pick, PoolView, TargetQuery};
 pub use freshness::Freshness;
-pub use targets::{AttemptOutcome, Lease, RouterTargetDump};
+pub use targets::{AttemptOutcome, Lease, NoticeChange, RouterTargetDump, TargetNotice};
 
 use crate::configuration::{Configuration, KeyOwner, Route, TargetEntry};
 use crate::fleet::LoadSummary;
@@ -309,6 +309,30 @@
         }
     }
 
+    /// Decides whether an attempt for which a target was chosen earlier may still
+    /// be sent: another response may have said since that the target leaves.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the target takes no requests.
+    pub fn recheck_target(&self, lease: &Lease) -> Result<(), Refusal> {
+        if self.targets.availability(lease).is_leaving {
+            return Err(Refusal::NoTarget);
+        }
+        Ok(())
+    }
+
+    /// Records what the response to an attempt says of its target, and returns
+    /// what is new of it.
+    pub fn record_notice(
+        &mut self,
+        now: Time,
+        lease: &Lease,
+        notice: TargetNotice,
+    ) -> NoticeChange {
+        self.targets.record_notice(now, lease, notice)
+    }
+
     /// Returns the owner of a key, unless the configuration is too old.
     fn key_owner<'a>(
         &self,
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -15,6 +15,8 @@
 const EJECT_TIME: Duration = Duration::from_secs(1);
 /// Longest duration of an ejection.
 const MAX_EJECT_TIME: Duration = Duration::from_secs(8);
+/// Targets without an entry whose notices are kept; the oldest is dropped first.
+const MAX_REMOVED: usize = 2_000;
 
 /// How an attempt at a target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +36,42 @@
     Abandoned,
 }
 
+/// What a target says of itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Whether it is going to stop.
+    pub is_leaving: bool,
+}
+
+/// Notices of a target that this instance did not know of before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeChange {
+    /// The target has begun to leave.
+    pub leaves: bool,
+}
+
+/// Notices of one process of a target that are in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Availability {
+    pub(crate) is_leaving: bool,
+}
+
+impl Availability {
+    fn record(&mut self, notice: TargetNotice) -> NoticeChange {
+        let leaves = notice.is_leaving && !self.is_leaving;
+        self.is_leaving |= notice.is_leaving;
+        NoticeChange { leaves }
+    }
+}
+
+/// Notices of a target without an entry, in case the entry returns.
+#[derive(Clone, Debug)]
+struct RemovedTarget {
+    started_ms: u64,
+    availability: Availability,
+    removed_at: Time,
+}
+
 /// An attempt that counts in the load of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lease {
@@ -41,6 +79,8 @@
     pub target: TargetId,
     /// Generation of the target at the start of the attempt.
     pub(crate) generation: u64,
+    /// Start time of the target's process.
+    pub(crate) started_ms: u64,
     pub(crate) prompt_prefix: Option<PrefixHash>,
     pub(crate) since: Time,
 }
@@ -64,6 +104,9 @@
     /// Milliseconds for which it stays ejected; 0 where it is not.
     #[serde(rename = "aside_ms")]
     pub ejected_ms: u64,
+    /// Whether a response of it said that it leaves.
+    #[serde(rename = "leaving")]
+    pub is_leaving: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -76,6 +119,7 @@
     pub(crate) generation: u64,
     pub(crate) cold_until: Time,
     pub(crate) ejected_until: Time,
+    pub(crate) availability: Availability,
     /// Requests of this instance.
     pub(crate) own: u32,
     /// Requests of all other instances.
@@ -131,6 +175,7 @@
 pub(crate) struct Targets {
     by_id: BTreeMap<TargetId, TargetState>,
     last_generation: u64,
+    removed: BTreeMap<TargetId, RemovedTarget>,
     /// Time until which targets are kept whose entries lapse.
     grace_until: Time,
 }
@@ -162,6 +207,8 @@
             }
             _ => {
                 self.last_generation += 1;
+                let known = self.removed.remove(id);
+                let known = known.filter(|r| r.started_ms == entry.started_ms);
                 // Without a start time, the entry may have been written before its
                 // cold time was known.
                 let cold_left = if entry.started_ms == 0 {
@@ -174,6 +221,7 @@
                     generation: self.last_generation,
                     cold_until: now + cold_left,
                     ejected_until: Time::ZERO,
+                    availability: known.map(|r| r.availability).unwrap_or_default(),
                     own: 0,
                     remote: 0,
                     cold_sent: None,
@@ -195,13 +243,45 @@
             Some(state) if now < self.grace_until && state.entry.stage == TargetStage::Ready => {
                 state.lapsed_at = state.lapsed_at.or(Some(now));
             }
-            Some(_) => {
-                self.by_id.remove(id);
-            }
+            Some(_) => self.drop_target(now, id),
             None => {}
         }
     }
 
+    /// Drops the state of a target except for its notices, which hold if the
+    /// entry of the same process returns.
+    fn drop_target(&mut self, now: Time, id: &TargetId) {
+        let Some(state) = self.by_id.remove(id) else {
+            return;
+        };
+        self.keep_notices(now, id, state.entry.started_ms, state.availability);
+    }
+
+    fn keep_notices(
+        &mut self,
+        now: Time,
+        id: &TargetId,
+        started_ms: u64,
+        availability: Availability,
+    ) {
+        // Without a start time, a process that starts anew looks like the former one.
+        if availability == Availability::default() || started_ms == 0 {
+            return;
+        }
+        let removed = RemovedTarget {
+            started_ms,
+            availability,
+            removed_at: now,
+        };
+        self.removed.insert(id.clone(), removed);
+        if self.removed.len() > MAX_REMOVED {
+            let oldest = self.removed.iter().min_by_key(|(_, r)| r.removed_at);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.removed.remove(&id);
+            }
+        }
+    }
+
     /// Keeps targets whose entries lapse until a time; an earlier one than before
     /// has no effect.
     pub(crate) fn keep_lapsed_until(&mut self, until: Time) {
@@ -215,7 +295,9 @@
         }
         let lapsed = self.by_id.iter().filter(|(_, s)| s.lapsed_at.is_some());
         let removed: Vec<TargetId> = lapsed.map(|(id, _)| id.clone()).collect();
-        self.by_id.retain(|_, s| s.lapsed_at.is_none());
+        for id in &removed {
+            self.drop_target(now, id);
+        }
         removed
     }
 
@@ -241,6 +323,7 @@
         Some(Lease {
             target: id.clone(),
             generation: state.generation,
+            started_ms: state.entry.started_ms,
             prompt_prefix: None,
             since: now,
         })
@@ -256,13 +339,47 @@
         match outcome {
             AttemptOutcome::Completed => state.record_outcome(now, false),
             AttemptOutcome::Failed | AttemptOutcome::Broken => state.record_outcome(now, true),
-            AttemptOutcome::Moved => {
-                self.by_id.remove(&lease.target);
-            }
+            AttemptOutcome::Moved => self.drop_target(now, &lease.target),
             AttemptOutcome::Full | AttemptOutcome::Abandoned => {}
         }
     }
 
+    /// Records the notice in a response to an attempt. It holds for the process
+    /// that the attempt was sent to and for no later one.
+    pub(crate) fn record_notice(
+        &mut self,
+        now: Time,
+        lease: &Lease,
+        notice: TargetNotice,
+    ) -> NoticeChange {
+        let started_ms = lease.started_ms;
+        match self.by_id.get_mut(&lease.target) {
+            Some(state) if state.entry.started_ms == started_ms => {
+                state.availability.record(notice)
+            }
+            Some(_) => NoticeChange::default(),
+            None => {
+                let known = self.removed.get(&lease.target);
+                let known = known.filter(|r| r.started_ms == started_ms);
+                let mut availability = known.map(|r| r.availability).unwrap_or_default();
+                let change = availability.record(notice);
+                self.keep_notices(now, &lease.target, started_ms, availability);
+                change
+            }
+        }
+    }
+
+    /// Returns the notices in force of the process that an attempt is sent to.
+    pub(crate) fn availability(&self, lease: &Lease) -> Availability {
+        let state = self.by_id.get(&lease.target);
+        let state = state.map(|s| (s.entry.started_ms, s.availability));
+        let removed = self.removed.get(&lease.target);
+        let removed = removed.map(|r| (r.started_ms, r.availability));
+        let known = state.or(removed);
+        let known = known.filter(|(started_ms, _)| *started_ms == lease.started_ms);
+        known.map_or(Availability::default(), |(_, availability)| availability)
+    }
+
     pub(crate) fn set_remote_load(&mut self, loads: &TagMap) {
         for state in self.by_id.values_mut() {
             state.remote = loads.0.get(&state.tag).copied().unwrap_or(0);
@@ -284,6 +401,7 @@
             remote: s.remote,
             cold_ms: ms(s.cold_until),
             ejected_ms: ms(s.ejected_until),
+            is_leaving: s.availability.is_leaving,
         };
         self.by_id.iter().map(row).collect()
     }
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -2,8 +2,8 @@
 
 use decision::{
     Admission, AttemptOutcome, Configuration, KeyOwner, LoadSummary, Refusal, RetryPolicy, Route,
-    Router, RouterBounds, ServiceSpec, TagMap, TargetEntry, TargetId, TargetQuery, TargetStage,
-    Time, target_tag,
+    Router, RouterBounds, ServiceSpec, TagMap, TargetEntry, TargetId, TargetNotice, TargetQuery,
+    TargetStage, Time, target_tag,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -401,6 +401,124 @@
     assert!(router.choose(Time::ZERO, &query(1)).is_ok());
 }
 
+const LEAVING: TargetNotice = TargetNotice { is_leaving: true };
+
+/// Returns the entry of a later process of a target.
+fn restarted(number: u16) -> TargetEntry {
+    TargetEntry {
+        started_ms: 2,
+        ..entry(number, Duration::ZERO)
+    }
+}
+
+/// Returns how many requests of these many go to a target.
+fn share(router: &mut Router, now: Time, requests: u64, target: &TargetId) -> usize {
+    let picks = (0..requests).filter_map(|prefix| {
+        let pick = router.choose(now, &query(prefix)).ok()?;
+        router.finish_attempt(now, &pick.lease, AttemptOutcome::Completed);
+        Some(pick.lease.target)
+    });
+    picks.filter(|picked| picked == target).count()
+}
+
+// Guards against requests to a target after a response said that it leaves.
+#[test]
+fn a_target_that_says_it_leaves_gets_no_further_request() {
+    let mut router = router(3);
+    let first = router.choose(Time::ZERO, &query(1)).expect("a target");
+    let leaving = first.lease.target.clone();
+    let change = router.record_notice(Time::ZERO, &first.lease, LEAVING);
+    assert!(change.leaves);
+    let again = router.record_notice(SECOND, &first.lease, TargetNotice::default());
+    assert!(
+        !again.leaves,
+        "a response without the notice revokes nothing"
+    );
+    assert_eq!(share(&mut router, Time::ZERO, 60, &leaving), 0);
+    // Its reports, and the requests that it still runs, change nothing.
+    let number = (0..3).find(|n| id(*n) == leaving).expect("a target");
+    router.update_target(SECOND, &leaving, Some(entry(number, Duration::ZERO)));
+    router.finish_attempt(SECOND, &first.lease, AttemptOutcome::Completed);
+    assert_eq!(share(&mut router, SECOND * 30, 60, &leaving), 0);
+    let others: Vec<TargetId> = (0..3).map(id).filter(|id| *id != leaving).collect();
+    let retry = TargetQuery {
+        tried: &others,
+        ..query(1)
+    };
+    assert_eq!(router.choose(SECOND, &retry), Err(Refusal::NoTarget));
+}
+
+// Guards against requests to a target that was chosen before a response said that
+// it leaves, and a restarted target that is taken for the former one.
+#[test]
+fn a_notice_holds_for_one_process_of_a_target() {
+    let mut router = router(1);
+    let first = router.choose(Time::ZERO, &query(1)).expect("a target");
+    let second = router.choose(Time::ZERO, &query(2)).expect("a target");
+    assert_eq!(router.recheck_target(&second.lease), Ok(()));
+    router.record_notice(Time::ZERO, &first.lease, LEAVING);
+    let rechecked = router.recheck_target(&second.lease);
+    assert_eq!(rechecked, Err(Refusal::NoTarget));
+    router.update_target(SECOND, &id(0), Some(restarted(0)));
+    let new = router.choose(SECOND, &query(1)).expect("the new process");
+    router.record_notice(SECOND, &second.lease, LEAVING);
+    assert_eq!(router.recheck_target(&new.lease), Ok(()));
+    assert!(router.choose(SECOND, &query(1)).is_ok());
+}
+
+// Guards against a target that leaves and is used again because its entry lapsed
+// and returned.
+#[test]
+fn a_notice_outlives_the_entry_of_its_target() {
+    let mut router = router(2);
+    let leases: Vec<_> = (0..40)
+        .map(|prefix| {
+            router
+                .choose(Time::ZERO, &query(prefix))
+                .expect("a target")
+                .lease
+        })
+        .collect();
+    let lease_of = |number: u16| leases.iter().find(|l| l.target == id(number));
+    let (zero, one) = (lease_of(0).expect("a lease"), lease_of(1).expect("a lease"));
+    router.record_notice(Time::ZERO, zero, LEAVING);
+    for number in 0..2 {
+        router.update_target(SECOND, &id(number), None);
+    }
+    // The response of the other one arrives after the entry is gone.
+    router.record_notice(SECOND, one, LEAVING);
+    assert_eq!(router.recheck_target(one), Err(Refusal::NoTarget));
+    let returned = SECOND * 5;
+    for number in 0..2 {
+        router.update_target(returned, &id(number), Some(entry(number, Duration::ZERO)));
+    }
+    assert_eq!(router.choose(returned, &query(1)), Err(Refusal::NoTarget));
+
+    // The same in an outage of the store, in which entries are kept for a while.
+    router.entries_verified(SECOND * 9, Some(returned), SECOND * 9);
+    router.update_target(SECOND * 9, &id(0), None);
+    assert_eq!(router.remove_lapsed(SECOND * 12), [id(0)]);
+    router.update_target(SECOND * 13, &id(0), Some(entry(0, Duration::ZERO)));
+    assert_eq!(
+        router.choose(SECOND * 13, &query(1)),
+        Err(Refusal::NoTarget)
+    );
+    router.update_target(SECOND * 14, &id(0), None);
+    router.update_target(SECOND * 14, &id(0), Some(restarted(0)));
+    assert!(router.choose(SECOND * 14, &query(1)).is_ok());
+}
+
+// Guards against a load bound by the mean of the targets that are left.
+#[test]
+fn a_leaving_target_stays_in_the_mean_of_its_pool() {
+    let mut router = router(4);
+    let first = router.choose(Time::ZERO, &query(1)).expect("a target");
+    router.record_notice(Time::ZERO, &first.lease, LEAVING);
+    let pick = router.choose(Time::ZERO, &query(1)).expect("a target");
+    assert_eq!((pick.pool.targets, pick.pool.usable), (4, 3));
+    assert_eq!(pick.pool.load, 1, "it still runs the first request");
+}
+
 proptest! {
     /// However many instances send to a cold target, it gets no more requests in
     /// any second than the operators allow.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to send a request to one target.
 
 use crate::SharedGateway;
-use decision::{AttemptOutcome, Lease, Pick, Refusal};
+use decision::{AttemptOutcome, Lease, Pick, Refusal, TargetNotice};
 use exchange::Driver;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -68,6 +68,9 @@
 pub(crate) enum AttemptError {
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent, because the target takes no requests any
+    /// more.
+    Withheld(Refusal),
     /// The target is full and did not run the request.
     Full,
     /// Another target has taken over the address; it did not run the request.
@@ -92,7 +95,7 @@
     /// Returns whether the request may have reached the target; another attempt
     /// then counts as a retry and needs a token of the retry budget.
     pub(crate) fn may_have_arrived(&self) -> bool {
-        !matches!(self, AttemptError::NotSent(_))
+        !matches!(self, AttemptError::NotSent(_) | AttemptError::Withheld(_))
     }
 
     /// Returns the outcome that the router records for the target.
@@ -102,6 +105,7 @@
                 AttemptOutcome::Broken
             }
             AttemptError::Failed => AttemptOutcome::Failed,
+            AttemptError::Withheld(_) => AttemptOutcome::Abandoned,
             AttemptError::Full => AttemptOutcome::Full,
             AttemptError::Moved => AttemptOutcome::Moved,
         }
@@ -111,6 +115,7 @@
     pub(crate) fn label(&self) -> &'static str {
         match self {
             AttemptError::NotSent(_) => "unsent",
+            AttemptError::Withheld(_) => "withheld",
             AttemptError::Full => "full",
             AttemptError::Moved => "moved",
             AttemptError::Failed => "failed",
@@ -123,6 +128,7 @@
     pub(crate) fn detail(&self) -> &str {
         match self {
             AttemptError::NotSent(message) | AttemptError::Lost(message) => message,
+            AttemptError::Withheld(refusal) => refusal.word(),
             AttemptError::Full
             | AttemptError::Moved
             | AttemptError::Failed
@@ -142,19 +148,21 @@
 }
 
 /// Sends the request to a target and waits up to `timeout` for the head of the
-/// response. `readmit` decides after the connection is open whether the request
-/// may still be sent.
+/// response. `recheck` decides after the connection is open whether the request
+/// may still be sent, and `notify` gets what the target's response says of it.
 pub(crate) async fn send(
     caller: &CallerRequest,
     pick: &Pick,
     added: &AddedHeaders<'_>,
     timeout: Duration,
-    readmit: impl Fn() -> Result<(), Refusal>,
+    recheck: impl Fn() -> Result<(), AttemptError>,
+    notify: impl FnOnce(TargetNotice),
 ) -> Result<OpenResponse, AttemptError> {
     let sender = exchange::connect(pick.address, CONNECT_TIMEOUT.min(timeout)).await?;
     // The process may have been paused or suspended since the request was
-    // admitted, and its API key may no longer be valid.
-    readmit().map_err(|refusal| AttemptError::NotSent(refusal.word().to_owned()))?;
+    // admitted, and its API key may no longer be valid. The target may have said
+    // in another response that it takes no requests any more.
+    recheck()?;
     let mut request = Request::builder()
         .method(caller.method.clone())
         .uri(caller.uri.clone())
@@ -165,7 +173,11 @@
     let (response, driver) =
         sent.map_err(|_| AttemptError::Lost("no answer in time".to_owned()))??;
     let status = response.status().as_u16();
-    match requests::classify_response(status, response.headers(), &caller.attempt) {
+    let kind = requests::classify_response(status, response.headers(), &caller.attempt);
+    if matches!(kind, ResponseKind::Ran | ResponseKind::NotRun) {
+        notify(requests::target_notice(response.headers()));
+    }
+    match kind {
         ResponseKind::Ran => Ok(OpenResponse {
             target_load: requests::reported_load(response.headers()),
             response,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,8 +4,8 @@
 use crate::attempt::{self, AttemptError, CallerRequest, LeaseGuard, OpenResponse};
 use crate::relay::{self, ResponseBody};
 use decision::{
-    Admission, AttemptOutcome, Pick, PoolView, Refusal, RetryPolicy, TargetId, TargetQuery, Time,
-    hash_parts,
+    Admission, AttemptOutcome, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId, TargetNotice,
+    TargetQuery, Time, hash_parts,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -273,8 +273,34 @@
             cache_source: pick.cache_source,
             last_event: after,
         };
-        let readmit = || self.readmit();
-        attempt::send(&self.caller_request, pick, &added, timeout, readmit).await
+        let recheck = || {
+            let admitted = self.readmit();
+            admitted.map_err(|refusal| AttemptError::NotSent(refusal.word().to_owned()))?;
+            let router = self.gateway.router.borrow();
+            let available = router.recheck_target(&pick.lease);
+            available.map_err(AttemptError::Withheld)
+        };
+        let notify = |notice| self.record_notice(&pick.lease, notice);
+        let caller = &self.caller_request;
+        attempt::send(caller, pick, &added, timeout, recheck, notify).await
+    }
+
+    /// Records what a response says of its target, and logs what is new of it.
+    fn record_notice(&self, lease: &Lease, notice: TargetNotice) {
+        let gateway = &self.gateway;
+        if notice.is_leaving {
+            gateway.metrics.count("target_notices", "leaving");
+        }
+        let now = gateway.now();
+        let change = gateway
+            .router
+            .borrow_mut()
+            .record_notice(now, lease, notice);
+        if change.leaves {
+            gateway.event_log.state_change(&json!({
+                "event": "target leaves", "target": lease.target,
+            }));
+        }
     }
 
     /// Returns whether the request may run once more after `runs` attempts that may
