Heed pauses that targets ask for

Callers: a target that turns a request away with 503 and `Retry-After` wants none from that instance for so long, and more than two within that time now break a rule (BUDGET). Nothing read the header: the next request could go to the same target at once, was turned away again and drew on the retry budget.

The router keeps the end for the process of the target, also while it has no entry, and leaves it out of the choice until then; the latest of several ends counts. An attempt that waits for its connection is checked again. A pause is not a failure: nothing is ejected, and the target stays in the mean of its pool. If all targets that could take a request pause, it is refused at once with 503 and the time to the first end plus a random part; so it is where some pause and the chosen one has reached the limit by the mean of the whole pool.

--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -83,7 +83,10 @@
 ) -> Result<Pick, Refusal> {
     let usable = usable(router, now, query);
     if usable.is_empty() {
-        return Err(Refusal::NoTarget);
+        return Err(match pause_left(router, now, query.service) {
+            Some(_) => Refusal::Paused,
+            None => Refusal::NoTarget,
+        });
     }
     let pool = pool_view(router, now, query.service, usable.len());
     let bounds = LoadBounds::new(router.bounds.load_multiple, &pool, &usable);
@@ -103,6 +106,11 @@
         .and_then(|p| cache_source(router, now, query, p, &id));
     let state = router.targets.get(&id).ok_or(Refusal::NoTarget)?;
     let (address, load) = (state.entry.address, state.load());
+    let load_limit = load_limit(router, &pool);
+    // The load of targets that pause must not push the others over the limit.
+    if load >= load_limit && has_paused(router, now, query.service) {
+        return Err(Refusal::Paused);
+    }
     let lease = router.targets.lease(now, &id).ok_or(Refusal::NoTarget)?;
     let lease = Lease {
         prompt_prefix: query.prompt_prefix,
@@ -119,7 +127,7 @@
         load_bound: bound,
         rank,
         pool,
-        load_limit: load_limit(router, &pool),
+        load_limit,
     })
 }
 
@@ -148,6 +156,7 @@
     let is_open = |(id, state): &Candidate<'_>| {
         state.entry.stage == TargetStage::Ready
             && !state.availability.is_leaving
+            && !state.availability.is_paused(now)
             && !router.evacuated.contains(&state.entry.domain)
             && !query.tried.contains(id)
             && allows_cold(router, now, query.service, id, state)
@@ -162,6 +171,30 @@
     if healthy.is_empty() { open } else { healthy }
 }
 
+/// Returns the targets of a service that would take requests but for a pause.
+fn staying<'a>(
+    router: &'a Router,
+    service: &'a ServiceId,
+) -> impl Iterator<Item = &'a TargetState> {
+    let all = router.targets.of_service(service).map(|(_, state)| state);
+    all.filter(|state| {
+        state.entry.stage == TargetStage::Ready
+            && !state.availability.is_leaving
+            && !router.evacuated.contains(&state.entry.domain)
+    })
+}
+
+fn has_paused(router: &Router, now: Time, service: &ServiceId) -> bool {
+    staying(router, service).any(|state| state.availability.is_paused(now))
+}
+
+/// Returns the time until the first of a service's targets takes requests again,
+/// if all of them pause.
+pub(super) fn pause_left(router: &Router, now: Time, service: &ServiceId) -> Option<Duration> {
+    let pauses = staying(router, service).map(|state| state.availability.pause_left(now));
+    pauses.min().filter(|left| !left.is_zero())
+}
+
 /// Returns whether the rate limit of a cold target allows another request from
 /// this instance; a warm target has no such limit.
 ///
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -71,6 +71,9 @@
     NoTarget,
     /// Every target of the service is full.
     Full,
+    /// Targets of the service want no request for a while, and the others can't
+    /// take it.
+    Paused,
 }
 
 impl Refusal {
@@ -83,6 +86,7 @@
             Refusal::BadKey => "bad_key",
             Refusal::NoTarget => "no_target",
             Refusal::Full => "full",
+            Refusal::Paused => "paused",
         }
     }
 }
@@ -310,16 +314,24 @@
     }
 
     /// Decides whether an attempt for which a target was chosen earlier may still
-    /// be sent: another response may have said since that the target leaves.
+    /// be sent: another response may have said since that the target leaves or
+    /// wants a pause.
     ///
     /// # Errors
     ///
     /// Returns why the target takes no requests.
-    pub fn recheck_target(&self, lease: &Lease) -> Result<(), Refusal> {
-        if self.targets.availability(lease).is_leaving {
-            return Err(Refusal::NoTarget);
+    pub fn recheck_target(&self, now: Time, lease: &Lease) -> Result<(), Refusal> {
+        match self.targets.availability(lease) {
+            known if known.is_leaving => Err(Refusal::NoTarget),
+            known if known.is_paused(now) => Err(Refusal::Paused),
+            _ => Ok(()),
         }
-        Ok(())
+    }
+
+    /// Returns the time until the first of a service's targets takes requests
+    /// again, if all of them have asked for a pause.
+    pub fn pause_left(&self, now: Time, service: &ServiceId) -> Option<Duration> {
+        choose::pause_left(self, now, service)
     }
 
     /// Records what the response to an attempt says of its target, and returns
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -15,6 +15,8 @@
 const EJECT_TIME: Duration = Duration::from_secs(1);
 /// Longest duration of an ejection.
 const MAX_EJECT_TIME: Duration = Duration::from_secs(8);
+/// Time between two pauses of a target below which they count as one.
+const MIN_PAUSE_GAP: Duration = Duration::from_secs(1);
 /// Targets without an entry whose notices are kept; the oldest is dropped first.
 const MAX_REMOVED: usize = 2_000;
 
@@ -41,6 +43,8 @@
 pub struct TargetNotice {
     /// Whether it is going to stop.
     pub is_leaving: bool,
+    /// Time for which it wants no request from this instance.
+    pub retry_after: Option<Duration>,
 }
 
 /// Notices of a target that this instance did not know of before.
@@ -48,19 +52,37 @@
 pub struct NoticeChange {
     /// The target has begun to leave.
     pub leaves: bool,
+    /// The target has asked for a pause.
+    pub pauses: bool,
 }
 
 /// Notices of one process of a target that are in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Availability {
     pub(crate) is_leaving: bool,
+    paused_until: Time,
 }
 
 impl Availability {
-    fn record(&mut self, notice: TargetNotice) -> NoticeChange {
+    pub(crate) fn is_paused(&self, now: Time) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns the time for which the target wants no request.
+    pub(crate) fn pause_left(&self, now: Time) -> Duration {
+        self.paused_until.saturating_sub(now)
+    }
+
+    fn record(&mut self, now: Time, notice: TargetNotice) -> NoticeChange {
         let leaves = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
-        NoticeChange { leaves }
+        let until = notice.retry_after.map_or(Time::ZERO, |after| now + after);
+        let was_paused = self.paused_until > Time::ZERO;
+        let gap = now.saturating_sub(self.paused_until);
+        let pauses = until > now && (!was_paused || gap >= MIN_PAUSE_GAP);
+        // Each refusal is in force for its own time.
+        self.paused_until = self.paused_until.max(until);
+        NoticeChange { leaves, pauses }
     }
 }
 
@@ -107,6 +129,8 @@
     /// Whether a response of it said that it leaves.
     #[serde(rename = "leaving")]
     pub is_leaving: bool,
+    /// Milliseconds for which it wants no request from this instance.
+    pub paused_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -265,7 +289,8 @@
         availability: Availability,
     ) {
         // Without a start time, a process that starts anew looks like the former one.
-        if availability == Availability::default() || started_ms == 0 {
+        let is_in_force = availability.is_leaving || availability.is_paused(now);
+        if !is_in_force || started_ms == 0 {
             return;
         }
         let removed = RemovedTarget {
@@ -355,14 +380,14 @@
         let started_ms = lease.started_ms;
         match self.by_id.get_mut(&lease.target) {
             Some(state) if state.entry.started_ms == started_ms => {
-                state.availability.record(notice)
+                state.availability.record(now, notice)
             }
             Some(_) => NoticeChange::default(),
             None => {
                 let known = self.removed.get(&lease.target);
                 let known = known.filter(|r| r.started_ms == started_ms);
                 let mut availability = known.map(|r| r.availability).unwrap_or_default();
-                let change = availability.record(notice);
+                let change = availability.record(now, notice);
                 self.keep_notices(now, &lease.target, started_ms, availability);
                 change
             }
@@ -402,6 +427,7 @@
             cold_ms: ms(s.cold_until),
             ejected_ms: ms(s.ejected_until),
             is_leaving: s.availability.is_leaving,
+            paused_ms: ms(s.availability.paused_until),
         };
         self.by_id.iter().map(row).collect()
     }
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -1,9 +1,9 @@
 //! Admission of requests, choice of targets, and limits over all instances.
 
 use decision::{
-    Admission, AttemptOutcome, Configuration, KeyOwner, LoadSummary, Refusal, RetryPolicy, Route,
-    Router, RouterBounds, ServiceSpec, TagMap, TargetEntry, TargetId, TargetNotice, TargetQuery,
-    TargetStage, Time, target_tag,
+    Admission, AttemptOutcome, Configuration, KeyOwner, Lease, LoadSummary, Refusal, RetryPolicy,
+    Route, Router, RouterBounds, ServiceSpec, TagMap, TargetEntry, TargetId, TargetNotice,
+    TargetQuery, TargetStage, Time, target_tag,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -401,7 +401,23 @@
     assert!(router.choose(Time::ZERO, &query(1)).is_ok());
 }
 
-const LEAVING: TargetNotice = TargetNotice { is_leaving: true };
+const LEAVING: TargetNotice = TargetNotice {
+    is_leaving: true,
+    retry_after: None,
+};
+
+fn pause(retry_after: Duration) -> TargetNotice {
+    TargetNotice {
+        is_leaving: false,
+        retry_after: Some(retry_after),
+    }
+}
+
+/// Ends an attempt that its target turned away with a pause.
+fn turn_away(router: &mut Router, now: Time, lease: &Lease, retry_after: Duration) {
+    router.record_notice(now, lease, pause(retry_after));
+    router.finish_attempt(now, lease, AttemptOutcome::Full);
+}
 
 /// Returns the entry of a later process of a target.
 fn restarted(number: u16) -> TargetEntry {
@@ -455,14 +471,14 @@
     let mut router = router(1);
     let first = router.choose(Time::ZERO, &query(1)).expect("a target");
     let second = router.choose(Time::ZERO, &query(2)).expect("a target");
-    assert_eq!(router.recheck_target(&second.lease), Ok(()));
+    assert_eq!(router.recheck_target(SECOND, &second.lease), Ok(()));
     router.record_notice(Time::ZERO, &first.lease, LEAVING);
-    let rechecked = router.recheck_target(&second.lease);
+    let rechecked = router.recheck_target(SECOND, &second.lease);
     assert_eq!(rechecked, Err(Refusal::NoTarget));
     router.update_target(SECOND, &id(0), Some(restarted(0)));
     let new = router.choose(SECOND, &query(1)).expect("the new process");
     router.record_notice(SECOND, &second.lease, LEAVING);
-    assert_eq!(router.recheck_target(&new.lease), Ok(()));
+    assert_eq!(router.recheck_target(SECOND, &new.lease), Ok(()));
     assert!(router.choose(SECOND, &query(1)).is_ok());
 }
 
@@ -487,7 +503,7 @@
     }
     // The response of the other one arrives after the entry is gone.
     router.record_notice(SECOND, one, LEAVING);
-    assert_eq!(router.recheck_target(one), Err(Refusal::NoTarget));
+    assert_eq!(router.recheck_target(SECOND, one), Err(Refusal::NoTarget));
     let returned = SECOND * 5;
     for number in 0..2 {
         router.update_target(returned, &id(number), Some(entry(number, Duration::ZERO)));
@@ -519,6 +535,129 @@
     assert_eq!(pick.pool.load, 1, "it still runs the first request");
 }
 
+// Guards against requests to a target that has turned one away and asked for a
+// pause, and against one that is kept out of use as if it had failed (BUDGET).
+#[test]
+fn a_target_gets_no_request_until_the_pause_ends_that_it_asked_for() {
+    let mut router = router(3);
+    let first = router.choose(Time::ZERO, &query(1)).expect("a target");
+    let second = router.choose(Time::ZERO, &query(1)).expect("a target");
+    let paused = first.lease.target.clone();
+    assert_eq!(second.lease.target, paused, "the prompt's first target");
+    let change = router.record_notice(Time::ZERO, &first.lease, pause(SECOND * 2));
+    assert!(change.pauses && !change.leaves);
+    router.finish_attempt(Time::ZERO, &first.lease, AttemptOutcome::Full);
+    let rechecked = router.recheck_target(SECOND, &second.lease);
+    assert_eq!(rechecked, Err(Refusal::Paused));
+    // A later and shorter pause does not end the first one.
+    let change = router.record_notice(SECOND, &second.lease, pause(SECOND / 10));
+    assert!(!change.pauses, "it pauses already");
+    router.finish_attempt(SECOND, &second.lease, AttemptOutcome::Full);
+    for tenth in 0..20 {
+        assert_eq!(share(&mut router, SECOND * tenth / 10, 30, &paused), 0);
+    }
+    assert_eq!(router.recheck_target(SECOND * 2, &second.lease), Ok(()));
+    let next = router.choose(SECOND * 2, &query(1)).expect("a target");
+    assert_eq!(next.lease.target, paused);
+}
+
+#[test]
+fn many_refusals_with_a_pause_do_not_eject_a_target() {
+    let mut router = router(2);
+    let first = router.choose(Time::ZERO, &query(5)).expect("a target");
+    let paused = first.lease.target.clone();
+    turn_away(&mut router, Time::ZERO, &first.lease, SECOND / 10);
+    for round in 1..20 {
+        let now = SECOND * round / 5;
+        let pick = router.choose(now, &query(5)).expect("a target");
+        assert_eq!(pick.lease.target, paused);
+        assert_eq!(pick.pool.targets, 2, "it counts in the mean of its pool");
+        turn_away(&mut router, now, &pick.lease, SECOND / 10);
+        let pick = router.choose(now, &query(5)).expect("a target");
+        assert_ne!(pick.lease.target, paused);
+        assert_eq!((pick.pool.targets, pick.pool.usable), (2, 1));
+        router.finish_attempt(now, &pick.lease, AttemptOutcome::Completed);
+    }
+}
+
+// Guards against requests to targets that pause for want of others.
+#[test]
+fn a_pool_that_pauses_as_a_whole_is_refused_until_the_first_pause_ends() {
+    let mut router = router(3);
+    router.set_evacuated(&"odd".into(), true);
+    let pool = "pool".into();
+    for retry_after in [SECOND * 3, SECOND * 2] {
+        assert_eq!(router.pause_left(Time::ZERO, &pool), None);
+        let pick = router.choose(Time::ZERO, &query(1)).expect("a target");
+        let lease = pick.lease;
+        turn_away(&mut router, Time::ZERO, &lease, retry_after);
+        let tried = [lease.target];
+        let retry = TargetQuery {
+            tried: &tried,
+            ..query(1)
+        };
+        let chosen = router.choose(Time::ZERO, &retry);
+        assert_eq!(chosen.is_ok(), retry_after == SECOND * 3);
+        if let Ok(pick) = chosen {
+            router.finish_attempt(Time::ZERO, &pick.lease, AttemptOutcome::Abandoned);
+        }
+    }
+    assert_eq!(router.choose(SECOND, &query(1)), Err(Refusal::Paused));
+    assert_eq!(router.pause_left(SECOND, &pool), Some(SECOND));
+    assert_eq!(router.pause_left(SECOND * 2, &pool), None);
+    let pick = router.choose(SECOND * 2, &query(1)).expect("a target");
+    // The only one without a pause leaves.
+    router.record_notice(SECOND * 2, &pick.lease, LEAVING);
+    let chosen = router.choose(SECOND * 2, &query(1));
+    assert_eq!(chosen, Err(Refusal::Paused));
+    assert_eq!(router.pause_left(SECOND * 2, &pool), Some(SECOND));
+}
+
+// Guards against targets that are loaded beyond the multiple of their pool's mean
+// because the others pause (LIMIT).
+#[test]
+fn targets_keep_to_the_limit_while_most_of_their_pool_pauses() {
+    let mut router = router(8);
+    while router.choose(Time::ZERO, &query(1)).is_ok_and(|pick| {
+        turn_away(&mut router, Time::ZERO, &pick.lease, SECOND);
+        pick.pool.usable > 3
+    }) {}
+    let mut loads: BTreeMap<TargetId, u32> = BTreeMap::new();
+    for prefix in 0..200 {
+        let Ok(pick) = router.choose(Time::ZERO, &query(prefix)) else {
+            break;
+        };
+        let others: u32 = loads.values().sum();
+        let load = loads.entry(pick.lease.target).or_insert(0);
+        let mean = f64::from(others) / 8.0;
+        assert!(
+            f64::from(*load) <= 2.0 * mean + 3.0,
+            "{load} at a mean of {mean}"
+        );
+        *load += 1;
+    }
+    assert_eq!(loads.len(), 2);
+    assert_eq!(router.choose(Time::ZERO, &query(1)), Err(Refusal::Paused));
+    assert!(router.choose(SECOND, &query(1)).is_ok());
+}
+
+// Guards against a pause that is forgotten because the entry of the target lapsed
+// and returned, and one that holds for a process that has started since.
+#[test]
+fn a_pause_holds_for_one_process_of_a_target() {
+    let mut router = router(1);
+    let first = router.choose(Time::ZERO, &query(1)).expect("a target");
+    turn_away(&mut router, Time::ZERO, &first.lease, SECOND * 10);
+    router.update_target(SECOND, &id(0), None);
+    router.update_target(SECOND, &id(0), Some(entry(0, Duration::ZERO)));
+    let chosen = router.choose(SECOND, &query(1));
+    assert_eq!(chosen, Err(Refusal::Paused));
+    router.update_target(SECOND, &id(0), Some(restarted(0)));
+    assert!(router.choose(SECOND, &query(1)).is_ok());
+    router.record_notice(SECOND, &first.lease, pause(SECOND));
+    assert!(router.choose(SECOND, &query(1)).is_ok());
+}
+
 proptest! {
     /// However many instances send to a cold target, it gets no more requests in
     /// any second than the operators allow.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -68,8 +68,8 @@
 pub(crate) enum AttemptError {
     /// No byte of the request was sent.
     NotSent(String),
-    /// No byte of the request was sent, because the target takes no requests any
-    /// more.
+    /// No byte of the request was sent, because the target takes none for now or
+    /// leaves.
     Withheld(Refusal),
     /// The target is full and did not run the request.
     Full,
@@ -161,7 +161,7 @@
     let sender = exchange::connect(pick.address, CONNECT_TIMEOUT.min(timeout)).await?;
     // The process may have been paused or suspended since the request was
     // admitted, and its API key may no longer be valid. The target may have said
-    // in another response that it takes no requests any more.
+    // in another response that it takes no requests.
     recheck()?;
     let mut request = Request::builder()
         .method(caller.method.clone())
@@ -175,7 +175,7 @@
     let status = response.status().as_u16();
     let kind = requests::classify_response(status, response.headers(), &caller.attempt);
     if matches!(kind, ResponseKind::Ran | ResponseKind::NotRun) {
-        notify(requests::target_notice(response.headers()));
+        notify(requests::target_notice(status, response.headers()));
     }
     match kind {
         ResponseKind::Ran => Ok(OpenResponse {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -277,7 +277,7 @@
             let admitted = self.readmit();
             admitted.map_err(|refusal| AttemptError::NotSent(refusal.word().to_owned()))?;
             let router = self.gateway.router.borrow();
-            let available = router.recheck_target(&pick.lease);
+            let available = router.recheck_target(self.gateway.now(), &pick.lease);
             available.map_err(AttemptError::Withheld)
         };
         let notify = |notice| self.record_notice(&pick.lease, notice);
@@ -291,6 +291,9 @@
         if notice.is_leaving {
             gateway.metrics.count("target_notices", "leaving");
         }
+        if notice.retry_after.is_some() {
+            gateway.metrics.count("target_notices", "pause");
+        }
         let now = gateway.now();
         let change = gateway
             .router
@@ -301,6 +304,12 @@
                 "event": "target leaves", "target": lease.target,
             }));
         }
+        if change.pauses {
+            let pause = notice.retry_after.map(|after| after.as_millis() as u64);
+            gateway.event_log.state_change(&json!({
+                "event": "target pauses", "target": lease.target, "pause_ms": pause,
+            }));
+        }
     }
 
     /// Returns whether the request may run once more after `runs` attempts that may
@@ -443,7 +452,13 @@
             _ if is_late => 504,
             _ => 502,
         };
-        let wait = (status == 503).then(retry_after);
+        let now = self.gateway.now();
+        let router = self.gateway.router.borrow();
+        let pause = router.pause_left(now, &self.admission.service);
+        drop(router);
+        // Nothing is sent to a pool that pauses, however often the caller returns.
+        let pause = pause.unwrap_or_default().as_secs_f64();
+        let wait = (status == 503).then(|| pause + retry_after());
         self.log_end("refused", status, &json!(reason));
         own_response(&self.gateway, status, reason, wait)
     }
