--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,8 +4,8 @@
 use crate::attempt::{self, AttemptError, CallerRequest, LeaseGuard, OpenResponse};
 use crate::relay::{self, ResponseBody};
 use decision::{
-    Admission, AttemptOutcome, Pick, PoolView, Refusal, RetryPolicy, TargetId, TargetQuery, Time,
-    hash_parts,
+    Admission, AttemptOutcome, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId, TargetNotice,
+    TargetQuery, Time, hash_parts,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -364,8 +364,45 @@
             cache_source: pick.cache_source,
             last_event: after,
         };
-        let readmit = || self.readmit().inspect(|()| sent.notify_one());
-        attempt::send(&self.caller_request, pick, &added, timeout, readmit).await
+        let recheck = || {
+            let admitted = self.readmit();
+            admitted.map_err(|refusal| AttemptError::NotSent(refusal.word().to_owned()))?;
+            let router = self.gateway.router.borrow();
+            let available = router.recheck_target(self.gateway.now(), &pick.lease);
+            available.map_err(AttemptError::Withheld)?;
+            sent.notify_one();
+            Ok(())
+        };
+        let notify = |notice| self.record_notice(&pick.lease, notice);
+        let caller = &self.caller_request;
+        attempt::send(caller, pick, &added, timeout, recheck, notify).await
+    }
+
+    /// Records what a response says of its target, and logs what is new of it.
+    fn record_notice(&self, lease: &Lease, notice: TargetNotice) {
+        let gateway = &self.gateway;
+        if notice.is_leaving {
+            gateway.metrics.count("target_notices", "leaving");
+        }
+        if notice.retry_after.is_some() {
+            gateway.metrics.count("target_notices", "pause");
+        }
+        let now = gateway.now();
+        let change = gateway
+            .router
+            .borrow_mut()
+            .record_notice(now, lease, notice);
+        if change.leaves {
+            gateway.event_log.state_change(&json!({
+                "event": "target leaves", "target": lease.target,
+            }));
+        }
+        if change.pauses {
+            let pause = notice.retry_after.map(|after| after.as_millis() as u64);
+            gateway.event_log.state_change(&json!({
+                "event": "target pauses", "target": lease.target, "pause_ms": pause,
+            }));
+        }
     }
 
     /// Returns whether the request may run once more after `runs` attempts that may
@@ -520,7 +557,13 @@
             _ if is_late => 504,
             _ => 502,
         };
-        let wait = (status == 503).then(retry_after);
+        let now = self.gateway.now();
+        let router = self.gateway.router.borrow();
+        let pause = router.pause_left(now, &self.admission.service);
+        drop(router);
+        // Nothing is sent to a pool that pauses, however often the caller returns.
+        let pause = pause.unwrap_or_default().as_secs_f64();
+        let wait = (status == 503).then(|| pause + retry_after());
         self.log_end("refused", status, &json!(reason));
         own_response(&self.gateway, status, reason, wait)
     }
