Log which attempts lost their target

Where a connection ends before the response is under way, the instance looks up to three times whether anything listens at the target's address, and logs that with the fingerprints of the prompt's shared parts. An end that was planned, by the target's entry, is told apart. Counted in lost_targets.

--- a/crates/decision/src/id.rs
+++ b/crates/decision/src/id.rs
@@ -28,6 +28,9 @@
 pub type Digest = u64;
 /// Hash of the parts of a prompt that other requests may share.
 pub type PrefixHash = u64;
+/// Hash of what requests that crash targets may have in common, such as a part of
+/// the prompt or all of the request.
+pub type Fingerprint = u64;
 /// Number of a request for a slot, unique at the instance that made it.
 pub type SlotRequestId = u64;
 /// Number of a granted slot, unique in the fleet.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -74,8 +74,8 @@
 };
 pub use hash::{chat_id, digest, hash_parts, rank};
 pub use id::{
-    AttemptId, ChatId, Digest, DomainId, GrantId, Incarnation, InstanceId, PrefixHash, RequestId,
-    ServiceId, SlotRequestId, TargetId, Time, Version, WorkspaceId,
+    AttemptId, ChatId, Digest, DomainId, Fingerprint, GrantId, Incarnation, InstanceId, PrefixHash,
+    RequestId, ServiceId, SlotRequestId, TargetId, Time, Version, WorkspaceId,
 };
 pub use loads::Loads;
 pub use members::{Listing, Member, MemberStatus, Members};
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -380,6 +380,12 @@
         self.targets.finish(now, lease, outcome);
     }
 
+    /// Returns whether the target of an attempt, in the start that the attempt was
+    /// for, is draining or has no entry any more, so that its end is planned.
+    pub fn is_leaving(&self, lease: &Lease) -> bool {
+        self.targets.is_leaving(lease)
+    }
+
     /// Counts the first attempt at a request towards the retry budget of its
     /// service.
     pub fn count_request(&mut self, service: &ServiceId) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -84,6 +84,8 @@
     Failed,
     /// The request was sent and may have run, but no complete response arrived.
     Lost(String),
+    /// The same, because the connection was closed or reset.
+    Disconnected(String),
     /// The request ran, but its response exceeds a size limit.
     TooLarge,
 }
@@ -93,7 +95,10 @@
     pub(crate) fn has_not_run(&self) -> bool {
         !matches!(
             self,
-            AttemptError::Lost(_) | AttemptError::TooLarge | AttemptError::Failed
+            AttemptError::Lost(_)
+                | AttemptError::Disconnected(_)
+                | AttemptError::TooLarge
+                | AttemptError::Failed
         )
     }
 
@@ -106,9 +111,10 @@
     /// Returns the outcome that the router records for the target.
     pub(crate) fn outcome(&self) -> AttemptOutcome {
         match self {
-            AttemptError::NotSent(_) | AttemptError::Lost(_) | AttemptError::TooLarge => {
-                AttemptOutcome::Broken
-            }
+            AttemptError::NotSent(_)
+            | AttemptError::Lost(_)
+            | AttemptError::Disconnected(_)
+            | AttemptError::TooLarge => AttemptOutcome::Broken,
             AttemptError::Failed => AttemptOutcome::Failed,
             AttemptError::Withheld(_) => AttemptOutcome::Abandoned,
             AttemptError::Full => AttemptOutcome::Full,
@@ -124,7 +130,7 @@
             AttemptError::Full => "full",
             AttemptError::Moved => "moved",
             AttemptError::Failed => "failed",
-            AttemptError::Lost(_) => "lost",
+            AttemptError::Lost(_) | AttemptError::Disconnected(_) => "lost",
             AttemptError::TooLarge => "too_large",
         }
     }
@@ -132,7 +138,9 @@
     /// Returns the cause in words, or an empty string if the label says it all.
     pub(crate) fn detail(&self) -> &str {
         match self {
-            AttemptError::NotSent(message) | AttemptError::Lost(message) => message,
+            AttemptError::NotSent(message)
+            | AttemptError::Lost(message)
+            | AttemptError::Disconnected(message) => message,
             AttemptError::Withheld(refusal) => refusal.word(),
             AttemptError::Full
             | AttemptError::Moved
@@ -146,7 +154,7 @@
     fn from(error: exchange::Error) -> AttemptError {
         match error {
             exchange::Error::NotSent { message, .. } => AttemptError::NotSent(message),
-            exchange::Error::Lost(message) => AttemptError::Lost(message),
+            exchange::Error::Lost(message) => AttemptError::Disconnected(message),
             exchange::Error::TooLarge => AttemptError::TooLarge,
         }
     }
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,105 @@
+//! Detection of requests under which targets crash.
+
+use crate::forward::ForwardedRequest;
+use decision::{Fingerprint, Time};
+use serde_json::json;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Times from the loss of a connection to the checks of its target. One that has
+/// crashed may take a moment to stop listening.
+const CHECK_DELAYS: [Duration; 3] = [
+    Duration::from_millis(10),
+    Duration::from_millis(100),
+    Duration::from_millis(400),
+];
+/// Timeout of each check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time from the first event of a stream after which its request does not crash the
+/// target: one that does may send an event before it is gone.
+const PROOF_TIME: Duration = Duration::from_millis(500);
+
+/// Formats a fingerprint for logs.
+pub(crate) fn hex(fingerprint: Fingerprint) -> String {
+    format!("{fingerprint:016x}")
+}
+
+/// Checks in the background whether the target of the latest attempt has crashed. To
+/// be called where the connection ended before the response was under way.
+pub(crate) fn check_target(request: &ForwardedRequest) {
+    let (Some((lease, address)), gateway) = (request.last_target.clone(), request.gateway.clone())
+    else {
+        return;
+    };
+    let attempt = request.head.attempt.clone();
+    let fingerprints = request.head.prompt_parts.clone();
+    let is_leaving = gateway.router.borrow().is_leaving(&lease);
+    tokio::task::spawn_local(async move {
+        let is_down = is_down(address).await;
+        let label = match is_down {
+            true if is_leaving => "left",
+            true => "down",
+            false => "up",
+        };
+        gateway.metrics.count("lost_targets", label);
+        gateway.event_log.request(true, || {
+            let fingerprints: Vec<String> = fingerprints.iter().copied().map(hex).collect();
+            json!({
+                "event": "attempt lost", "id": attempt, "target": lease.target,
+                "down": is_down, "leaving": is_leaving, "fingerprints": fingerprints,
+            })
+        });
+    });
+}
+
+/// What a stream from one target tells of crashes so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StreamProgress {
+    /// Time of the first event.
+    since: Option<Time>,
+    /// Whether the request is known not to crash its target.
+    is_proved: bool,
+}
+
+impl StreamProgress {
+    /// Records an event.
+    pub(crate) fn record_event(&mut self, request: &ForwardedRequest) {
+        let now = request.gateway.now();
+        let since = *self.since.get_or_insert(now);
+        self.is_proved |= now.saturating_sub(since) >= PROOF_TIME;
+    }
+
+    /// Records that the connection was closed or reset before the end of the stream.
+    pub(crate) fn record_loss(&self, request: &ForwardedRequest) {
+        if !self.is_proved {
+            check_target(request);
+        }
+    }
+}
+
+/// Returns whether no process listens on the address of a target that has just
+/// closed a connection.
+async fn is_down(address: SocketAddr) -> bool {
+    for delay in CHECK_DELAYS {
+        tokio::time::sleep(delay).await;
+        if refuses_connections(address).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    match connected {
+        Ok(Err(error)) => matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+        ),
+        // A connection that is accepted shows that the target is up; one that is not
+        // answered shows nothing.
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::SharedGateway;
 use crate::attempt::{self, AttemptError, CallerRequest, LeaseGuard, OpenResponse};
+use crate::crashes;
 use crate::relay::{self, ResponseBody};
 use decision::{
     Admission, AttemptOutcome, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId, TargetNotice,
@@ -16,6 +17,7 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -55,6 +57,8 @@
     pub(crate) tried: Vec<TargetId>,
     /// Attempts that may have run the request.
     pub(crate) runs: u32,
+    /// Target that handles the request or handled it last, and its address.
+    pub(crate) last_target: Option<(Lease, SocketAddr)>,
     /// Choice of the target and error of each attempt, for the log.
     attempts: Vec<AttemptRecord>,
     /// Whether the end of the request has been logged.
@@ -125,15 +129,17 @@
     };
     let timeout = admission.route.timeout;
     let allowed = head.timeout.map_or(timeout, |w| w.min(timeout));
+    let caller_request = CallerRequest {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        attempt: head.attempt.clone(),
+    };
     let request = ForwardedRequest {
         gateway: gateway.clone(),
-        caller_request: CallerRequest {
-            method: parts.method,
-            uri: parts.uri,
-            headers: parts.headers,
-            body,
-            attempt: head.attempt.clone(),
-        },
+        last_target: None,
+        caller_request,
         head,
         admission,
         arrived,
@@ -214,6 +220,9 @@
                     error
                 }
             };
+            if matches!(error, AttemptError::Disconnected(_)) {
+                crashes::check_target(&self);
+            }
             if let Some(response) = self.after_error(&error) {
                 return response;
             }
@@ -228,6 +237,7 @@
             None => self.choose(None)?,
         };
         self.record_attempt(&choice.0);
+        self.last_target = Some((choice.0.lease.clone(), choice.0.address));
         Ok(choice)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod attempt;
 mod clock;
 mod control;
+mod crashes;
 mod event_log;
 mod fleet;
 mod forward;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 
 use crate::SharedGateway;
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
+use crate::crashes::{self, StreamProgress};
 use crate::forward::{Choice, ForwardedRequest, RequestCounter};
 use crate::sse::{SseEvent, SseSplitter};
 use decision::{AttemptOutcome, Pick, Refusal, RetryPolicy, TargetId, Time};
@@ -100,6 +101,11 @@
     AttemptError::Lost(message.to_owned())
 }
 
+/// Error of a stream whose end may be that of its target.
+fn cut(message: &str) -> AttemptError {
+    AttemptError::Disconnected(message.to_owned())
+}
+
 /// Returns whether a line of an event is the first line of a response.
 fn has_response_head(event: &[u8]) -> bool {
     let mut lines = event.split(|byte| *byte == b'\n');
@@ -179,7 +185,7 @@
                         return Err(exchange::Error::TooLarge.into());
                     }
                 }
-                Some(Err(e)) => return Err(AttemptError::Lost(e.to_string())),
+                Some(Err(e)) => return Err(AttemptError::Disconnected(e.to_string())),
                 None => {
                     self.is_finished = true;
                     return self.finish();
@@ -192,7 +198,7 @@
     fn finish(&self) -> Result<Option<SseEvent>, AttemptError> {
         let remainder = self.splitter.remainder();
         if remainder.iter().any(|byte| !b"\r\n".contains(byte)) {
-            return Err(lost("the stream ended inside an event"));
+            return Err(cut("the stream ended inside an event"));
         }
         if remainder.is_empty() || self.is_empty {
             return Ok(None);
@@ -237,7 +243,7 @@
         }
     };
     let first = match first {
-        Ok(None) if !stream.may_be_empty => Err(lost("the stream has no event")),
+        Ok(None) if !stream.may_be_empty => Err(cut("the stream has no event")),
         first => first,
     };
     let first = match first {
@@ -269,6 +275,7 @@
             headers: parts.headers,
             last_id: None,
             events: 0,
+            progress: StreamProgress::default(),
         }
         .run(stream, first)
         .await;
@@ -290,6 +297,7 @@
     last_id: Option<u64>,
     /// Events sent to the caller.
     events: u32,
+    progress: StreamProgress,
 }
 
 /// Why the stream from one target ended.
@@ -326,6 +334,7 @@
                 StreamEnd::Failed(_) | StreamEnd::Replaced(_) => AttemptOutcome::Broken,
                 StreamEnd::CallerLeft | StreamEnd::DeadlinePassed => AttemptOutcome::Abandoned,
             });
+            self.record_progress(&end);
             let error = match end {
                 StreamEnd::Complete => return self.request.log_end("whole", 200, &Value::Null),
                 StreamEnd::CallerLeft => {
@@ -390,6 +399,7 @@
             };
             is_new = event.id.map_or(is_new, |id| Some(id) > self.last_id);
             has_new |= is_new;
+            self.progress.record_event(&self.request);
             if is_new {
                 self.last_id = event.id.or(self.last_id);
                 self.events += 1;
@@ -451,6 +461,13 @@
         }
     }
 
+    /// Records what the end of the stream from one target tells of crashes.
+    fn record_progress(&self, end: &StreamEnd) {
+        if let StreamEnd::Failed(AttemptError::Disconnected(_)) = end {
+            self.progress.record_loss(&self.request);
+        }
+    }
+
     /// Asks another target to continue the stream of a silent one, which is left
     /// once the other one has accepted the request. Returns `None` if it doesn't.
     ///
@@ -474,17 +491,25 @@
             Overlap::CallerLeft => return Some(Err(StreamEnd::CallerLeft)),
         };
         self.request.record_load(&pick, &opened);
+        let address = pick.address;
+        let silent = self.request.last_target.replace((pick.lease, address));
         let error = match opened {
             Ok(opened) if self.can_continue(&opened) => {
                 self.request.runs += 1;
-                self.request.gateway.metrics.count("resumes", "silent");
-                let successor = TargetStream::new(&self.request.gateway, opened, lease, true).1;
+                let gateway = &self.request.gateway;
+                gateway.metrics.count("resumes", "silent");
+                let successor = TargetStream::new(gateway, opened, lease, true).1;
+                self.progress = StreamProgress::default();
                 return Some(Err(StreamEnd::Replaced(Box::new(successor))));
             }
             Ok(_) => AttemptError::Failed,
             Err(error) => error,
         };
         lease.end(error.outcome());
+        if matches!(error, AttemptError::Disconnected(_)) {
+            crashes::check_target(&self.request);
+        }
+        self.request.last_target = silent;
         if !error.has_not_run() {
             self.request.runs += 1;
         }
@@ -512,7 +537,12 @@
                 () = self.sender.closed() => return Overlap::CallerLeft,
                 event = stream.next(), if stream.is_open() => match event {
                     Ok(event) => return Overlap::Continued(event),
-                    Err(_) => stream.end(AttemptOutcome::Broken),
+                    Err(error) => {
+                        stream.end(AttemptOutcome::Broken);
+                        if matches!(error, AttemptError::Disconnected(_)) {
+                            self.progress.record_loss(&self.request);
+                        }
+                    }
                 },
                 opened = sending.as_mut() => return Overlap::Responded(opened),
                 () = held.as_mut(), if stream.is_open() => stream.end(AttemptOutcome::Broken),
@@ -569,7 +599,10 @@
             match opened {
                 Ok(opened) if self.can_continue(&opened) => {
                     self.request.gateway.metrics.count("resumes", error.label());
-                    return Ok(TargetStream::new(&self.request.gateway, opened, lease, true).1);
+                    let gateway = &self.request.gateway;
+                    let stream = TargetStream::new(gateway, opened, lease, true).1;
+                    self.progress = StreamProgress::default();
+                    return Ok(stream);
                 }
                 Ok(_) => {
                     lease.end(AttemptOutcome::Failed);
@@ -578,6 +611,9 @@
                 Err(retry_error) => {
                     self.request.record_error(&retry_error);
                     lease.end(retry_error.outcome());
+                    if matches!(retry_error, AttemptError::Disconnected(_)) {
+                        crashes::check_target(&self.request);
+                    }
                     if !retry_error.has_not_run() {
                         return Err(retry_error.label());
                     }
