Quarantine parts of prompts that crash targets

Cause: an instance kept the failure of the target and the attempts of the request, and nothing of what the request had in common with others. Each next one was new to it, and to every other instance.

Change: a crash is evidence against the parts of the prompts that the target had not begun to respond to; a response clears them. Instances merge the evidence through their pulses. A part with three separate crashes is refused by all, and tried again later by ever more instances.

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -219,7 +219,7 @@
     now.saturating_sub(at) < MAX_LOAD_AGE
 }
 
-/// Returns the tag of an instance and its incarnation.
-fn incarnation_tag(id: &str, incarnation: Incarnation) -> Tag {
+/// Returns the tag of an instance or a target, and its incarnation.
+pub(crate) fn incarnation_tag(id: &str, incarnation: Incarnation) -> Tag {
     tag_map::tag(&[id.as_bytes(), &incarnation.to_le_bytes()])
 }
--- a/crates/decision/src/fleet/pulse.rs
+++ b/crates/decision/src/fleet/pulse.rs
@@ -3,6 +3,7 @@
 use super::tag_map::{Tag, TagMap, tag};
 use crate::id::{Incarnation, InstanceId, PrefixHash, Time};
 use crate::members::Listing;
+use crate::router::CrashReport;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -133,6 +134,9 @@
     /// for a table of which it has no proved copy.
     #[serde(rename = "f", default)]
     pub copies: Vec<Option<CopyStatus>>,
+    /// Evidence of what crashes targets, which [`crate::Router`] exchanges.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// A pulse to send.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -91,8 +91,9 @@
 pub use request::{AttemptPolicy, Request, RequestAction, RequestEvent, RequestOutcome};
 pub use retry_budget::RetryBudget;
 pub use router::{
-    Admission, AttemptOutcome, Freshness, Lease, NoticeChange, Pick, PoolView, Refusal, Router,
-    RouterBounds, RouterDump, RouterTargetDump, TargetNotice, TargetQuery,
+    Admission, AttemptOutcome, CrashReport, Freshness, Lease, NoticeChange, Pick, PoolView,
+    QuarantineChange, Refusal, Router, RouterBounds, RouterDump, RouterTargetDump, TargetNotice,
+    TargetQuery,
 };
 pub use slots::{Denial, LoadReport, SlotLedger};
 pub use table_copy::{ApplyOutcome, TableCopy, TableRow, TableUpdate};
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -2,19 +2,22 @@
 //! budget of retries.
 
 mod choose;
+mod crashes;
 mod freshness;
 mod load_bounds;
 mod prefixes;
 mod targets;
 
 pub use choose::{Pick, PoolView, TargetQuery};
+pub use crashes::{CrashReport, QuarantineChange};
 pub use freshness::Freshness;
 pub use targets::{AttemptOutcome, Lease, NoticeChange, RouterTargetDump, TargetNotice};
 
 use crate::configuration::{Configuration, KeyOwner, Route, TargetEntry};
 use crate::fleet::LoadSummary;
-use crate::id::{DomainId, ServiceId, TargetId, Time, Version, WorkspaceId};
+use crate::id::{DomainId, Fingerprint, ServiceId, TargetId, Time, Version, WorkspaceId};
 use crate::retry_budget::RetryBudget;
+use crashes::{Crashes, Share};
 use prefixes::Prefixes;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -74,9 +77,23 @@
     /// Targets of the service want no request for a while, and the others can't
     /// take it.
     Paused,
+    /// Requests like this one crash their targets.
+    Quarantined {
+        /// Fingerprint that is quarantined.
+        fingerprint: Fingerprint,
+        /// Time after which a request with it may be admitted.
+        time_left: Duration,
+    },
 }
 
 impl Refusal {
+    fn quarantined((fingerprint, time_left): (Fingerprint, Duration)) -> Refusal {
+        Refusal::Quarantined {
+            fingerprint,
+            time_left,
+        }
+    }
+
     /// Returns the word for this reason in logs, metrics and responses.
     pub fn word(self) -> &'static str {
         match self {
@@ -87,6 +104,7 @@
             Refusal::NoTarget => "no_target",
             Refusal::Full => "full",
             Refusal::Paused => "paused",
+            Refusal::Quarantined { .. } => "quarantined",
         }
     }
 }
@@ -116,6 +134,7 @@
     targets: Targets,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     prefixes: Prefixes,
+    crashes: Crashes,
     /// Instances that share the limits.
     instances: usize,
     /// Position of this instance among them, in the order of their names.
@@ -135,6 +154,7 @@
             targets: Targets::default(),
             budgets: BTreeMap::new(),
             prefixes: Prefixes::default(),
+            crashes: Crashes::default(),
             instances: 1,
             position: 0,
             remote_load_at: None,
@@ -386,6 +406,77 @@
         self.targets.is_leaving(lease)
     }
 
+    /// Records that a target was found to have crashed after the connection of an
+    /// attempt ended at `lost_at`, before the response was under way.
+    pub fn record_crash(
+        &mut self,
+        now: Time,
+        lease: &Lease,
+        lost_at: Time,
+        fingerprints: &[Fingerprint],
+    ) {
+        let wait = lost_at.saturating_sub(lease.since);
+        let target = lease.incarnation;
+        self.crashes
+            .record_crash(now, lost_at, wait, target, fingerprints);
+    }
+
+    /// Records that a target responded to a request, or that the response is under
+    /// way for so long that the request does not crash its target.
+    pub fn record_begin(&mut self, now: Time, fingerprints: &[Fingerprint]) {
+        self.crashes.record_begin(now, fingerprints);
+    }
+
+    /// Decides whether a request may be sent by what is known to crash targets. One
+    /// that is admitted may be the trial of a suspect, after which no other request
+    /// with it is admitted here for a while.
+    ///
+    /// # Errors
+    ///
+    /// Returns the quarantine for which the request is refused.
+    pub fn check_quarantine(
+        &mut self,
+        now: Time,
+        fingerprints: &[Fingerprint],
+    ) -> Result<(), Refusal> {
+        let share = Share {
+            instances: self.instances,
+            position: self.position,
+        };
+        let admitted = self.crashes.admit(now, share, fingerprints);
+        admitted.map_err(Refusal::quarantined)
+    }
+
+    /// Decides once more whether a request may be sent that
+    /// [`Router::check_quarantine`] admitted shortly before.
+    ///
+    /// # Errors
+    ///
+    /// Returns the quarantine for which the request is refused.
+    pub fn recheck_quarantine(
+        &self,
+        now: Time,
+        fingerprints: &[Fingerprint],
+    ) -> Result<(), Refusal> {
+        let readmitted = self.crashes.readmit(now, fingerprints);
+        readmitted.map_err(Refusal::quarantined)
+    }
+
+    /// Returns the evidence of crashes for a pulse.
+    pub fn crash_reports(&self, now: Time) -> Vec<CrashReport> {
+        self.crashes.reports(now)
+    }
+
+    /// Merges the evidence of crashes of another instance.
+    pub fn merge_crashes(&mut self, now: Time, reports: &[CrashReport]) {
+        self.crashes.merge(now, reports);
+    }
+
+    /// Returns the quarantines that have begun or ended since the last call.
+    pub fn quarantine_changes(&mut self, now: Time) -> Vec<QuarantineChange> {
+        self.crashes.changes(now)
+    }
+
     /// Counts the first attempt at a request towards the retry budget of its
     /// service.
     pub fn count_request(&mut self, service: &ServiceId) {
@@ -432,6 +523,8 @@
     pub evacuated: Vec<DomainId>,
     /// Instances that share the limits.
     pub instances: usize,
+    /// Fingerprints with evidence of crashes.
+    pub crash_records: usize,
     /// Targets.
     pub targets: Vec<RouterTargetDump>,
 }
@@ -444,6 +537,7 @@
             age_ms: self.freshness.age(now).map(|a| a.as_millis() as u64),
             evacuated: self.evacuated.iter().cloned().collect(),
             instances: self.instances,
+            crash_records: self.crashes.len(),
             targets: self.target_dumps(now),
         }
     }
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -1,7 +1,7 @@
 //! State of every target, as its entry in the store and its responses show it.
 
 use crate::configuration::{TargetEntry, TargetStage};
-use crate::fleet::{Tag, TagMap, target_tag};
+use crate::fleet::{Tag, TagMap, incarnation_tag, target_tag};
 use crate::id::{PrefixHash, ServiceId, TargetId, Time};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -103,6 +103,8 @@
     pub(crate) generation: u64,
     /// Start time of the target's process.
     pub(crate) started_ms: u64,
+    /// Tag of the target and its start, the same at all instances.
+    pub(crate) incarnation: Tag,
     pub(crate) prompt_prefix: Option<PrefixHash>,
     pub(crate) since: Time,
 }
@@ -349,6 +351,7 @@
             target: id.clone(),
             generation: state.generation,
             started_ms: state.entry.started_ms,
+            incarnation: incarnation_tag(id, state.entry.started_ms),
             prompt_prefix: None,
             since: now,
         })
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,7 +1,10 @@
 //! Detection of requests under which targets crash.
 
+use crate::SharedGateway;
 use crate::forward::ForwardedRequest;
 use decision::{Fingerprint, Time};
+use hyper::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use serde_json::json;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -34,10 +37,15 @@
         return;
     };
     let attempt = request.head.attempt.clone();
-    let fingerprints = request.head.prompt_parts.clone();
+    let fingerprints = request.fingerprints.clone();
+    let lost_at = gateway.now();
     let is_leaving = gateway.router.borrow().is_leaving(&lease);
     tokio::task::spawn_local(async move {
         let is_down = is_down(address).await;
+        if is_down && !is_leaving {
+            let mut router = gateway.router.borrow_mut();
+            router.record_crash(gateway.now(), &lease, lost_at, &fingerprints);
+        }
         let label = match is_down {
             true if is_leaving => "left",
             true => "down",
@@ -54,9 +62,26 @@
     });
 }
 
+/// Records the complete success of a request. Where its end is that of the
+/// connection, a crash of the target looks the same, so that the target is checked
+/// in place of that.
+pub(crate) fn record_response(request: &ForwardedRequest, ends_with_connection: bool) {
+    if ends_with_connection {
+        return check_target(request);
+    }
+    let mut router = request.gateway.router.borrow_mut();
+    router.record_begin(request.gateway.now(), &request.fingerprints);
+}
+
+/// Returns whether the end of a response's body is that of its connection.
+pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// What a stream from one target tells of crashes so far.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct StreamProgress {
+    ends_with_connection: bool,
     /// Time of the first event.
     since: Option<Time>,
     /// Whether the request is known not to crash its target.
@@ -64,11 +89,31 @@
 }
 
 impl StreamProgress {
+    /// Starts with the head of the response.
+    pub(crate) fn new(headers: &HeaderMap) -> Self {
+        StreamProgress {
+            ends_with_connection: ends_with_connection(headers),
+            since: None,
+            is_proved: false,
+        }
+    }
+
     /// Records an event.
     pub(crate) fn record_event(&mut self, request: &ForwardedRequest) {
         let now = request.gateway.now();
         let since = *self.since.get_or_insert(now);
-        self.is_proved |= now.saturating_sub(since) >= PROOF_TIME;
+        if !self.is_proved && now.saturating_sub(since) >= PROOF_TIME {
+            self.is_proved = true;
+            record_response(request, false);
+        }
+    }
+
+    /// Records that the stream has ended as if it were complete.
+    pub(crate) fn record_complete(&mut self, request: &ForwardedRequest) {
+        if self.since.is_some() && !self.is_proved {
+            self.is_proved = true;
+            record_response(request, self.ends_with_connection);
+        }
     }
 
     /// Records that the connection was closed or reset before the end of the stream.
@@ -79,6 +124,21 @@
     }
 }
 
+/// Logs the quarantines that have begun or ended.
+pub(crate) fn log_changes(gateway: &SharedGateway) {
+    let now = gateway.now();
+    let changes = gateway.router.borrow_mut().quarantine_changes(now);
+    for change in changes {
+        let has_begun = change.time_left.is_some();
+        let label = if has_begun { "begun" } else { "ended" };
+        gateway.metrics.count("quarantines", label);
+        gateway.event_log.state_change(&json!({
+            "event": "quarantine", "fingerprint": hex(change.fingerprint),
+            "begun": has_begun, "left_ms": change.time_left.map(|t| t.as_millis() as u64),
+        }));
+    }
+}
+
 /// Returns whether no process listens on the address of a target that has just
 /// closed a connection.
 async fn is_down(address: SocketAddr) -> bool {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,6 +3,7 @@
 //! [`Fleet`] decides which pulses are due; this module sends them over the mesh,
 //! handles incoming messages and passes changes of the store's tables on.
 
+use crate::crashes;
 use crate::state::{Gap, TABLES};
 use crate::{Error, Result, Settings, SharedGateway};
 use decision::{
@@ -91,7 +92,9 @@
         let statuses = gateway.copy_statuses();
         let mut fleet = gateway.fleet.borrow_mut();
         fleet.set_starting(!gateway.is_started());
-        for outgoing in build(&mut fleet, now, &own, &statuses) {
+        let crashes = gateway.router.borrow().crash_reports(now);
+        for mut outgoing in build(&mut fleet, now, &own, &statuses) {
+            outgoing.pulse.crashes.clone_from(&crashes);
             let message = Message::Pulse(Box::new(outgoing.pulse));
             self.0.send(&outgoing.to, outgoing.address, &message);
         }
@@ -101,6 +104,7 @@
         router.remove_lapsed(now);
         drop((fleet, router));
         gateway.update_remote_load(now);
+        crashes::log_changes(gateway);
     }
 
     /// Introduces this instance to one seed and fetches the tables that it lacks
@@ -152,6 +156,9 @@
         let statuses = pulse.copies.clone();
         let is_new = !gateway.fleet.borrow().knows_peer(from);
         let is_fleet_wide = pulse.scope == PulseScope::All;
+        let mut router = gateway.router.borrow_mut();
+        router.merge_crashes(now, &pulse.crashes);
+        drop(router);
         let proofs = gateway.fleet.borrow_mut().receive_pulse(now, from, pulse);
         if is_fleet_wide {
             gateway.update_remote_load(now);
@@ -162,7 +169,8 @@
             }
         }
         if is_new {
-            let reply = gateway.fleet.borrow().join_reply(now, from);
+            let mut reply = gateway.fleet.borrow().join_reply(now, from);
+            reply.crashes = gateway.router.borrow().crash_reports(now);
             self.send(gateway, from, &Message::Pulse(Box::new(reply)));
         }
         for (table, status) in statuses.into_iter().enumerate().take(TABLES.len()) {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,8 +5,8 @@
 use crate::crashes;
 use crate::relay::{self, ResponseBody};
 use decision::{
-    Admission, AttemptOutcome, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId, TargetNotice,
-    TargetQuery, Time, hash_parts,
+    Admission, AttemptOutcome, Fingerprint, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId,
+    TargetNotice, TargetQuery, Time, hash_parts,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -57,6 +57,8 @@
     pub(crate) tried: Vec<TargetId>,
     /// Attempts that may have run the request.
     pub(crate) runs: u32,
+    /// What the request may have in common with others that crash their targets.
+    pub(crate) fingerprints: Vec<Fingerprint>,
     /// Target that handles the request or handled it last, and its address.
     pub(crate) last_target: Option<(Lease, SocketAddr)>,
     /// Choice of the target and error of each attempt, for the log.
@@ -138,6 +140,7 @@
     };
     let request = ForwardedRequest {
         gateway: gateway.clone(),
+        fingerprints: head.prompt_parts.clone(),
         last_target: None,
         caller_request,
         head,
@@ -255,6 +258,9 @@
         };
         let now = self.gateway.now();
         self.readmit()?;
+        let mut router = self.gateway.router.borrow_mut();
+        router.check_quarantine(now, &self.fingerprints)?;
+        drop(router);
         let pick = self.gateway.router.borrow_mut().choose(now, &query)?;
         let lease = LeaseGuard::new(&self.gateway, pick.lease.clone());
         Ok((pick, lease))
@@ -377,9 +383,10 @@
         let recheck = || {
             let admitted = self.readmit();
             admitted.map_err(|refusal| AttemptError::NotSent(refusal.word().to_owned()))?;
-            let router = self.gateway.router.borrow();
-            let available = router.recheck_target(self.gateway.now(), &pick.lease);
-            available.map_err(AttemptError::Withheld)?;
+            let (router, now) = (self.gateway.router.borrow(), self.gateway.now());
+            let available = router.recheck_target(now, &pick.lease);
+            let admitted = router.recheck_quarantine(now, &self.fingerprints);
+            available.and(admitted).map_err(AttemptError::Withheld)?;
             sent.notify_one();
             Ok(())
         };
@@ -482,6 +489,9 @@
                 ));
             }
         };
+        if parts.status.is_success() {
+            crashes::record_response(self, crashes::ends_with_connection(&parts.headers));
+        }
         if !parts.status.is_server_error() {
             lease.end(AttemptOutcome::Completed);
             return Ok(self.respond(&parts, body));
@@ -567,17 +577,29 @@
             _ if is_late => 504,
             _ => 502,
         };
-        let now = self.gateway.now();
-        let router = self.gateway.router.borrow();
-        let pause = router.pause_left(now, &self.admission.service);
-        drop(router);
-        // Nothing is sent to a pool that pauses, however often the caller returns.
-        let pause = pause.unwrap_or_default().as_secs_f64();
-        let wait = (status == 503).then(|| pause + retry_after());
-        self.log_end("refused", status, &json!(reason));
+        let (outcome, detail, wait) = match refusal {
+            Some(Refusal::Quarantined {
+                fingerprint,
+                time_left,
+            }) => {
+                let detail = json!({ "fingerprint": crashes::hex(fingerprint) });
+                ("quarantined", detail, time_left)
+            }
+            _ => ("refused", json!(reason), self.pause_left()),
+        };
+        self.log_end(outcome, status, &detail);
+        let wait = (status == 503).then(|| wait.as_secs_f64() + retry_after());
         own_response(&self.gateway, status, reason, wait)
     }
 
+    /// Returns the time for which all targets of the service want no request. Nothing
+    /// is sent to them before, however often the caller returns.
+    fn pause_left(&self) -> Duration {
+        let router = self.gateway.router.borrow();
+        let pause = router.pause_left(self.gateway.now(), &self.admission.service);
+        pause.unwrap_or_default()
+    }
+
     /// Logs the end of the request and counts it in the metrics.
     pub(crate) fn log_end(&self, outcome: &'static str, status: u16, reason: &Value) {
         self.is_finished.set(true);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -253,6 +253,7 @@
             return Err((Box::new(request), error));
         }
     };
+    let progress = StreamProgress::new(&parts.headers);
     let gateway = request.gateway.clone();
     gateway
         .metrics
@@ -275,7 +276,7 @@
             headers: parts.headers,
             last_id: None,
             events: 0,
-            progress: StreamProgress::default(),
+            progress,
         }
         .run(stream, first)
         .await;
@@ -462,9 +463,16 @@
     }
 
     /// Records what the end of the stream from one target tells of crashes.
-    fn record_progress(&self, end: &StreamEnd) {
-        if let StreamEnd::Failed(AttemptError::Disconnected(_)) = end {
-            self.progress.record_loss(&self.request);
+    fn record_progress(&mut self, end: &StreamEnd) {
+        match end {
+            StreamEnd::Complete => self.progress.record_complete(&self.request),
+            StreamEnd::Failed(AttemptError::Disconnected(_)) => {
+                self.progress.record_loss(&self.request);
+            }
+            StreamEnd::CallerLeft
+            | StreamEnd::DeadlinePassed
+            | StreamEnd::Failed(_)
+            | StreamEnd::Replaced(_) => {}
         }
     }
 
@@ -498,8 +506,8 @@
                 self.request.runs += 1;
                 let gateway = &self.request.gateway;
                 gateway.metrics.count("resumes", "silent");
-                let successor = TargetStream::new(gateway, opened, lease, true).1;
-                self.progress = StreamProgress::default();
+                let (parts, successor) = TargetStream::new(gateway, opened, lease, true);
+                self.progress = StreamProgress::new(&parts.headers);
                 return Some(Err(StreamEnd::Replaced(Box::new(successor))));
             }
             Ok(_) => AttemptError::Failed,
@@ -600,8 +608,8 @@
                 Ok(opened) if self.can_continue(&opened) => {
                     self.request.gateway.metrics.count("resumes", error.label());
                     let gateway = &self.request.gateway;
-                    let stream = TargetStream::new(gateway, opened, lease, true).1;
-                    self.progress = StreamProgress::default();
+                    let (parts, stream) = TargetStream::new(gateway, opened, lease, true);
+                    self.progress = StreamProgress::new(&parts.headers);
                     return Ok(stream);
                 }
                 Ok(_) => {
