Quarantine whole requests that crash targets

A request that crashes each target which begins to run it comes again, with the same path, caller and body, at any instance, and reached targets each time, twice where the route allows two attempts. Services without prompts have no parts to go by.

Cause: the same as for parts of prompts; there is nothing that a request has in common with its repetitions but all of it.

Change: a request has one more fingerprint, of its workspace, method, host, path, prompt and body. Evidence, exchange and quarantine are those of parts.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,10 +1,12 @@
 //! Detection of requests under which targets crash.
 
 use crate::SharedGateway;
+use crate::attempt::CallerRequest;
 use crate::forward::ForwardedRequest;
-use decision::{Fingerprint, Time};
+use decision::{Admission, Fingerprint, Time, hash_parts};
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use platform::requests::CallerHead;
 use serde_json::json;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -24,6 +26,31 @@
 /// target: one that does may send an event before it is gone.
 const PROOF_TIME: Duration = Duration::from_millis(500);
 
+/// Returns the fingerprints of a request: those of its prompt's shared parts, and
+/// one of the whole request.
+pub(crate) fn fingerprints(
+    request: &CallerRequest,
+    head: &CallerHead,
+    admission: &Admission,
+) -> Vec<Fingerprint> {
+    let path = request.uri.path_and_query().map_or("", |p| p.as_str());
+    let whole = hash_parts(&[
+        b"request",
+        admission
+            .workspace
+            .as_deref()
+            .unwrap_or_default()
+            .as_bytes(),
+        request.method.as_str().as_bytes(),
+        head.host.as_bytes(),
+        path.as_bytes(),
+        &head.prompt_hash.unwrap_or_default().to_le_bytes(),
+        &request.body,
+    ]);
+    let parts = head.prompt_parts.iter().copied();
+    parts.chain([whole]).collect()
+}
+
 /// Formats a fingerprint for logs.
 pub(crate) fn hex(fingerprint: Fingerprint) -> String {
     format!("{fingerprint:016x}")
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -140,7 +140,7 @@
     };
     let request = ForwardedRequest {
         gateway: gateway.clone(),
-        fingerprints: head.prompt_parts.clone(),
+        fingerprints: crashes::fingerprints(&caller_request, &head, &admission),
         last_target: None,
         caller_request,
         head,
