Return to a silent target if its successor refuses late

Callers saw a resumable stream cut although its target was sound and only silent for some seconds: the next target held the request for 250 ms, so that the silent one was closed, and then answered that it had not run it. With two targets there was no third to choose, because the silent one counted as tried.

Cause: a target that holds a request was taken for one that accepts it. The silent target is still left after 250 ms, since both must not work on the request for longer; if no other target can be chosen then, the stream continues at the one that was left.

a_silent_stream_is_not_cut_when_the_other_target_refuses_late failed before, on, and passes now.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -277,6 +277,7 @@
             last_id: None,
             events: 0,
             progress,
+            left: None,
         }
         .run(stream, first)
         .await;
@@ -299,6 +300,8 @@
     /// Events sent to the caller.
     events: u32,
     progress: StreamProgress,
+    /// Target that was left for its silence.
+    left: Option<TargetId>,
 }
 
 /// Why the stream from one target ended.
@@ -530,7 +533,7 @@
 
     /// Sends the request to another target while a silent one may still continue its
     /// stream, for [`MAX_OVERLAP`] at most.
-    async fn overlap(&self, stream: &mut TargetStream, pick: &Pick) -> Overlap {
+    async fn overlap(&mut self, stream: &mut TargetStream, pick: &Pick) -> Overlap {
         let sent = Notify::new();
         let timeout = self.request.time_left();
         let sending = self.request.send_with(pick, self.last_id, timeout, &sent);
@@ -553,7 +556,10 @@
                     }
                 },
                 opened = sending.as_mut() => return Overlap::Responded(opened),
-                () = held.as_mut(), if stream.is_open() => stream.end(AttemptOutcome::Broken),
+                () = held.as_mut(), if stream.is_open() => {
+                    stream.end(AttemptOutcome::Broken);
+                    self.left = Some(stream.target.clone());
+                }
             }
         }
     }
@@ -595,7 +601,7 @@
             if !self.request.take_retry() {
                 return Err("no_retry");
             }
-            let (pick, lease) = self.request.choose_target().map_err(Refusal::word)?;
+            let (pick, lease) = self.choose_target().map_err(Refusal::word)?;
             let after = self.last_id;
             let timeout = self.request.time_left();
             let opened = tokio::select! {
@@ -632,6 +638,18 @@
         Err("no_time")
     }
 
+    /// Chooses a target to continue the stream; the one that was left for its silence
+    /// only if there is no other.
+    fn choose_target(&mut self) -> Result<Choice, Refusal> {
+        let refusal = match self.request.choose_target() {
+            Err(refusal) => refusal,
+            chosen => return chosen,
+        };
+        let left = self.left.take().ok_or(refusal)?;
+        self.request.tried.retain(|tried| *tried != left);
+        self.request.choose_target()
+    }
+
     /// Returns whether a response can continue the stream that the caller gets.
     fn can_continue(&self, opened: &OpenResponse) -> bool {
         let response = &opened.response;
