Count no repeated event as progress beside a successor

Callers saw a stream cut whose target repeated events that they already had, while another target was about to continue it. A repeated event that arrived while the other target was asked ended the attempt there as if the first one went on; the repetition then failed the stream, and no attempt was left.

a_stream_whose_target_repeats_an_event_resumes_at_another failed so once on a busy machine, where the other target took longer than 20 ms to respond. a_repeated_event_does_not_keep_a_stream_from_another_target gives it 100 ms; it failed before this change and passes now.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -547,6 +547,8 @@
                 biased;
                 () = self.sender.closed() => return Overlap::CallerLeft,
                 event = stream.next(), if stream.is_open() => match event {
+                    // An event that the caller has already got is no progress.
+                    Ok(Some(event)) if event.id.is_some_and(|id| Some(id) <= self.last_id) => {}
                     Ok(event) => return Overlap::Continued(event),
                     Err(error) => {
                         stream.end(AttemptOutcome::Broken);
