Refuse streams that may outlast a stop

Callers saw a stream cut by the exit of an instance that had taken it on more than 3 s after its stop began. Since connections are accepted and heads awaited while the instance closes, such a request is served, and ends at the end of the grace period at the latest. The operators count it as lost: they excuse only requests that were sent within 3 s of the signal.

From 100 ms before closing, a stream whose deadline is after the exit is refused with 503. Plain requests and streams that fit are served as before. Closing begins at 3 s instead of up to 50 ms later.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -131,6 +131,11 @@
     };
     let timeout = admission.route.timeout;
     let allowed = head.timeout.map_or(timeout, |w| w.min(timeout));
+    let deadline = arrived + allowed;
+    let outlasts = gateway.exit.get().is_some_and(|exit| deadline > exit);
+    if outlasts && admission.route.retry_policy.is_stream() {
+        return reject(gateway, &head, Refusal::Full, Some("the instance stops"));
+    }
     let caller_request = CallerRequest {
         method: parts.method,
         uri: parts.uri,
@@ -146,7 +151,7 @@
         head,
         admission,
         arrived,
-        deadline: arrived + allowed,
+        deadline,
         tried: Vec::new(),
         runs: 0,
         attempts: Vec::new(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,6 +29,9 @@
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which a stopping instance checks whether its work is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Time before [`Phase::Closing`] from which a stopping instance takes on no stream
+/// that may outlast it.
+const LATE_MARGIN: Duration = Duration::from_millis(100);
 /// Time for which a stopping instance waits for the first request on a connection.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// File descriptors that callers' connections leave for those to the store, to
@@ -271,12 +274,13 @@
     mesh.announce(gateway);
     watch::deregister(gateway).await;
     let lookups = Duration::from_secs(LOOKUP_TTL_S) * LOOKUP_TTLS;
+    let limit = grace.saturating_sub(KILL_MARGIN);
     let elapsed = || gateway.now().saturating_sub(started);
-    while elapsed() < lookups {
-        tokio::time::sleep(STOP_POLL).await;
-    }
+    let last_streams = lookups.saturating_sub(LATE_MARGIN);
+    tokio::time::sleep(last_streams.saturating_sub(elapsed())).await;
+    gateway.exit.set(Some(started + limit));
+    tokio::time::sleep(lookups.saturating_sub(elapsed())).await;
     gateway.phase.send_replace(Phase::Closing);
-    let limit = grace.saturating_sub(KILL_MARGIN);
     // A connection may have received a request that is not counted yet.
     let is_busy = || gateway.requests.get() > 0 || gateway.connections.get() > 0;
     while elapsed() < limit && is_busy() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -62,6 +62,9 @@
     pub(crate) metrics: Metrics,
     pub(crate) event_log: EventLog,
     pub(crate) phase: tokio::sync::watch::Sender<Phase>,
+    /// Time at which a stopping instance exits, once it takes on no stream that may
+    /// last longer.
+    pub(crate) exit: Cell<Option<Time>>,
     /// Requests that are being served.
     pub(crate) requests: Cell<usize>,
     /// Open connections to the listening sockets, other than the mesh's.
@@ -105,6 +108,7 @@
             metrics: Metrics::default(),
             event_log: EventLog::new(),
             phase: tokio::sync::watch::Sender::new(Phase::Serving),
+            exit: Cell::new(None),
             requests: Cell::new(0),
             connections: Cell::new(0),
             limits: Rc::new(ConnectionLimits::new()),
