Count no end of a target that said it leaves as a crash

Cause: `Targets::is_leaving`, which tells a planned end from a crash, looked at the entry in the store alone. An instance that is cut off from the store, or any while the store is down, knows of the leaving only by the target's own word; the loss of what ran there was then evidence against its fingerprints, and went to all instances.

--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -524,6 +524,17 @@
     assert!(router.choose(SECOND * 14, &query(1)).is_ok());
 }
 
+// Guards against a target that says it leaves and whose end is taken for a crash.
+#[test]
+fn the_end_of_a_target_that_said_it_leaves_is_planned() {
+    let mut router = router(1);
+    let first = router.choose(Time::ZERO, &query(1)).expect("a target");
+    router.record_notice(Time::ZERO, &first.lease, pause(SECOND));
+    assert!(!router.is_leaving(&first.lease));
+    router.record_notice(Time::ZERO, &first.lease, LEAVING);
+    assert!(router.is_leaving(&first.lease));
+}
+
 // Guards against a load bound by the mean of the targets that are left.
 #[test]
 fn a_leaving_target_stays_in_the_mean_of_its_pool() {
