Refuse for a pause only where no target has room

Cause: while any target of a service pauses, a request was refused if the target chosen for it had reached the limit, though others had room: the choice goes by the load per slot, by failures or by corrected loads, the limit by the number of requests. One paused target of six was enough for all requests without a prompt to be refused until its pause ended.

Change: targets at the limit are left out of the choice while one pauses; a request is refused if none is left.

Test, failed before: a_pause_refuses_nothing_that_another_target_has_room_for: a target: Paused

--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -81,7 +81,7 @@
     now: Time,
     query: &TargetQuery<'_>,
 ) -> Result<Pick, Refusal> {
-    let usable = usable(router, now, query);
+    let mut usable = usable(router, now, query);
     if usable.is_empty() {
         return Err(match pause_left(router, now, query.service) {
             Some(_) => Refusal::Paused,
@@ -91,6 +91,15 @@
     let pool = pool_view(router, now, query.service, usable.len());
     let bounds = LoadBounds::new(router.bounds.load_multiple, &pool, &usable);
     let bound = bounds.draw(query.spread_hash);
+    let load_limit = load_limit(router, &pool);
+    let has_room = |(_, state): &Candidate<'_>| state.load() < load_limit;
+    // The load of targets that pause must not push the others over the limit.
+    if !usable.iter().all(has_room) && has_paused(router, now, query.service) {
+        usable.retain(has_room);
+        if usable.is_empty() {
+            return Err(Refusal::Paused);
+        }
+    }
     let found = match query.prompt_prefix {
         Some(prefix) => {
             let running = router.prefixes.running(now, prefix);
@@ -106,11 +115,6 @@
         .and_then(|p| cache_source(router, now, query, p, &id));
     let state = router.targets.get(&id).ok_or(Refusal::NoTarget)?;
     let (address, load) = (state.entry.address, state.load());
-    let load_limit = load_limit(router, &pool);
-    // The load of targets that pause must not push the others over the limit.
-    if load >= load_limit && has_paused(router, now, query.service) {
-        return Err(Refusal::Paused);
-    }
     let lease = router.targets.lease(now, &id).ok_or(Refusal::NoTarget)?;
     let lease = Lease {
         prompt_prefix: query.prompt_prefix,
--- a/crates/decision/tests/router.rs
+++ b/crates/decision/tests/router.rs
@@ -652,6 +652,35 @@
     assert!(router.choose(SECOND, &query(1)).is_ok());
 }
 
+// Guards against refusals because one target is at the limit while others have room
+// and yet another one pauses.
+#[test]
+fn a_pause_refuses_nothing_that_another_target_has_room_for() {
+    let mut router = router(6);
+    for number in 1..6 {
+        let small = TargetEntry {
+            slots: 4,
+            ..entry(number, Duration::ZERO)
+        };
+        router.update_target(Time::ZERO, &id(number), Some(small));
+    }
+    // The first target has most requests and least per slot.
+    let query = |hash| TargetQuery {
+        prompt_prefix: None,
+        ..query(hash)
+    };
+    let leases: Vec<Lease> = (0..40)
+        .map(|hash| router.choose(Time::ZERO, &query(hash)).expect("a target"))
+        .map(|pick| pick.lease)
+        .collect();
+    let small = leases.iter().find(|l| l.target != id(0));
+    turn_away(&mut router, Time::ZERO, small.expect("a lease"), SECOND);
+    for hash in 0..8 {
+        let pick = router.choose(Time::ZERO, &query(hash)).expect("a target");
+        assert!(pick.load < pick.load_limit);
+    }
+}
+
 // Guards against a pause that is forgotten because the entry of the target lapsed
 // and returned, and one that holds for a process that has started since.
 #[test]
