Drop expired evidence of crashes at its arrival

An instance sent what it had just merged in its next pulse before it removed what had expired, and the others did the same, so that an expired quarantine went round and did not end.

--- a/crates/decision/src/router/crashes.rs
+++ b/crates/decision/src/router/crashes.rs
@@ -311,6 +311,15 @@
             };
             self.add(now, report.fingerprint, report.target, crash);
         }
+        // Expired evidence would go out again with the next pulse, and come back.
+        for report in reports {
+            let fingerprint = report.fingerprint;
+            let record = self.records.get_mut(&fingerprint);
+            if record.is_some_and(|r| !r.expire(now)) {
+                self.records.remove(&fingerprint);
+                self.suspects.remove(&fingerprint);
+            }
+        }
     }
 
     fn add(&mut self, now: Time, fingerprint: Fingerprint, target: Tag, crash: Crash) {
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -663,3 +663,20 @@
     let old: Pulse = ciborium::from_reader(&bytes[..]).expect("a pulse");
     assert!(old.crashes.is_empty());
 }
+
+// Guards against evidence that has expired and returns with the pulses of others.
+#[test]
+fn expired_evidence_does_not_return() {
+    for seed in 0..3 {
+        let mut net = Net::new(seed, 9, 20);
+        for target in 0..3 {
+            let now = net.now;
+            crash_one(&mut net.routers[target], now, target, DEADLY);
+            net.run(SECOND, |_, _| Vec::new());
+        }
+        net.run(SECOND * 3_700, |_, _| Vec::new());
+        let now = net.now;
+        let records = net.routers.iter().map(|r| r.dump(now).crash_records);
+        assert_eq!(records.sum::<usize>(), 0, "seed {seed}");
+    }
+}
