Limit the instances that try a suspect at once

The number that may try doubled every 2 s whether requests with the suspect came or not. An eighth of the instances may try at once at most, and they take turns.

--- a/crates/decision/src/router/crashes.rs
+++ b/crates/decision/src/router/crashes.rs
@@ -34,9 +34,12 @@
 const QUARANTINE_FACTOR: u32 = 4;
 /// Longest duration of a quarantine.
 const MAX_QUARANTINE_TIME: Duration = Duration::from_secs(1_800);
-/// Interval at which the number of instances that may try a suspect doubles. In
+/// Interval at which the number of instances that may try a suspect doubles, up to a
+/// limit from which on they take turns. In
 /// this time a trial has usually ended and the others know how.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+/// Part of the instances, as its reciprocal, that may try a suspect at once at most.
+const TRIAL_SHARE: u64 = 8;
 /// Time from one trial of a suspect at an instance to the next.
 const TRIAL_TIME: Duration = Duration::from_secs(5);
 /// Time after which evidence expires that is too little for a quarantine.
@@ -249,9 +252,13 @@
     /// Returns whether the instance may try a suspect that is tried since a time.
     fn may_try(self, now: Time, since: Time, fingerprint: Fingerprint) -> bool {
         let instances = self.instances.max(1) as u64;
-        let rank = (self.position as u64 + fingerprint % instances) % instances;
         let intervals = now.saturating_sub(since).as_millis() / TRIAL_INTERVAL.as_millis();
-        rank < 1 << intervals.min(32)
+        let intervals = intervals as u64;
+        let limit = instances.div_ceil(TRIAL_SHARE);
+        let count = limit.min(1 << intervals.min(32));
+        // Others have their turn in the next interval.
+        let first = fingerprint.wrapping_add(intervals.wrapping_mul(limit)) % instances;
+        (self.position as u64 + first) % instances < count
     }
 }
 
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -680,3 +680,18 @@
         assert_eq!(records.sum::<usize>(), 0, "seed {seed}");
     }
 }
+
+// Guards against trials at all instances at once where requests with a suspect were
+// absent for a while.
+#[test]
+fn a_suspect_that_returns_after_a_while_is_tried_by_few_instances() {
+    for seed in 0..6 {
+        let deadly = [DEADLY];
+        let mut net = play(seed, 18, 60.0, 0.05, &deadly, 1);
+        net.run(SECOND * 900, |_, _| Vec::new());
+        let before = net.crashes[0].len();
+        net.run(SECOND * 10, |rng, _| mixed(rng, 60.0, 0.2, &deadly, 1));
+        let after = net.crashes[0].len() - before;
+        assert!(after <= MAX_LATE, "seed {seed}: {after} crashes more");
+    }
+}
