Take the end of a target that said that it leaves for planned

A lost attempt was evidence of a crash although an earlier response of the target had said that it leaves, while its entry was not up to date. The new test failed before.

--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -401,7 +401,8 @@
     }
 
     /// Returns whether the target of an attempt, in the start that the attempt was
-    /// for, is draining or has no entry any more, so that its end is planned.
+    /// for, is draining, has said that it leaves or has no entry any more, so that its
+    /// end is planned.
     pub fn is_leaving(&self, lease: &Lease) -> bool {
         self.targets.is_leaving(lease)
     }
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -357,12 +357,15 @@
         })
     }
 
-    /// Returns whether the start of a target that a lease is for is draining or has
-    /// no entry any more.
+    /// Returns whether the start of a target that a lease is for is draining, has said
+    /// that it leaves, or has no entry any more.
     pub(crate) fn is_leaving(&self, lease: &Lease) -> bool {
         let state = self.by_id.get(&lease.target);
         let state = state.filter(|s| s.generation == lease.generation);
-        state.is_none_or(|s| s.entry.stage != TargetStage::Ready || s.lapsed_at.is_some())
+        state.is_none_or(|s| {
+            let is_ready = s.entry.stage == TargetStage::Ready && s.lapsed_at.is_none();
+            !is_ready || s.availability.is_leaving
+        })
     }
 
     /// Ends an attempt. A lease of another generation has no effect.
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -3,8 +3,8 @@
 
 use decision::{
     AttemptOutcome, Configuration, Fingerprint, Fleet, InstanceId, Lease, Listing, LoadSummary,
-    OutgoingPulse, Pulse, Router, RouterBounds, ServiceSpec, TargetEntry, TargetId, TargetQuery,
-    TargetStage, Time,
+    OutgoingPulse, Pulse, Router, RouterBounds, ServiceSpec, TargetEntry, TargetId, TargetNotice,
+    TargetQuery, TargetStage, Time,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -695,3 +695,25 @@
         assert!(after <= MAX_LATE, "seed {seed}: {after} crashes more");
     }
 }
+
+// Guards against the stop of a target that is taken for a crash where its entry is
+// not up to date.
+#[test]
+fn a_target_that_says_that_it_leaves_has_not_crashed() {
+    let mut router = router(&[1]);
+    let service = target_id(0);
+    let query = TargetQuery {
+        service: &service,
+        prompt_prefix: None,
+        spread_hash: 0,
+        tried: &[],
+    };
+    let pick = router.choose(SECOND, &query).expect("a target");
+    assert!(!router.is_leaving(&pick.lease));
+    let notice = TargetNotice {
+        is_leaving: true,
+        retry_after: None,
+    };
+    router.record_notice(SECOND, &pick.lease, notice);
+    assert!(router.is_leaving(&pick.lease));
+}
