Clear parts by responses that end with their connections

A response without a length ends like a connection to a target that crashes, so that its target was checked and nothing was cleared, also where the target was up. Such responses are no longer logged as lost attempts.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -59,6 +59,12 @@
 /// Checks in the background whether the target of the latest attempt has crashed. To
 /// be called where the connection ended before the response was under way.
 pub(crate) fn check_target(request: &ForwardedRequest) {
+    check(request, false);
+}
+
+/// Checks the target of the latest attempt as [`check_target`] does. If it is up, a
+/// response that seems complete is.
+fn check(request: &ForwardedRequest, seems_complete: bool) {
     let (Some((lease, address)), gateway) = (request.last_target.clone(), request.gateway.clone())
     else {
         return;
@@ -69,6 +75,10 @@
     let is_leaving = gateway.router.borrow().is_leaving(&lease);
     tokio::task::spawn_local(async move {
         let is_down = is_down(address).await;
+        if seems_complete && !is_down {
+            let mut router = gateway.router.borrow_mut();
+            return router.record_begin(gateway.now(), &fingerprints);
+        }
         if is_down && !is_leaving {
             let mut router = gateway.router.borrow_mut();
             router.record_crash(gateway.now(), &lease, lost_at, &fingerprints);
@@ -91,10 +101,10 @@
 
 /// Records the complete success of a request. Where its end is that of the
 /// connection, a crash of the target looks the same, so that the target is checked
-/// in place of that.
+/// before.
 pub(crate) fn record_response(request: &ForwardedRequest, ends_with_connection: bool) {
     if ends_with_connection {
-        return check_target(request);
+        return check(request, true);
     }
     let mut router = request.gateway.router.borrow_mut();
     router.record_begin(request.gateway.now(), &request.fingerprints);
