--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -363,9 +363,8 @@
         let state = self.by_id.get(&lease.target);
         let state = state.filter(|s| s.generation == lease.generation);
         state.is_none_or(|s| {
-            s.entry.stage != TargetStage::Ready
-                || s.availability.is_leaving
-                || s.lapsed_at.is_some()
+            let is_ready = s.entry.stage == TargetStage::Ready && s.lapsed_at.is_none();
+            !is_ready || s.availability.is_leaving
         })
     }
 
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -3,8 +3,8 @@
 
 use decision::{
     AttemptOutcome, Configuration, Fingerprint, Fleet, InstanceId, Lease, Listing, LoadSummary,
-    OutgoingPulse, Pulse, Router, RouterBounds, ServiceSpec, TargetEntry, TargetId, TargetQuery,
-    TargetStage, Time,
+    OutgoingPulse, Pulse, Router, RouterBounds, ServiceSpec, TargetEntry, TargetId, TargetNotice,
+    TargetQuery, TargetStage, Time,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -663,3 +663,57 @@
     let old: Pulse = ciborium::from_reader(&bytes[..]).expect("a pulse");
     assert!(old.crashes.is_empty());
 }
+
+// Guards against evidence that has expired and returns with the pulses of others.
+#[test]
+fn expired_evidence_does_not_return() {
+    for seed in 0..3 {
+        let mut net = Net::new(seed, 9, 20);
+        for target in 0..3 {
+            let now = net.now;
+            crash_one(&mut net.routers[target], now, target, DEADLY);
+            net.run(SECOND, |_, _| Vec::new());
+        }
+        net.run(SECOND * 3_700, |_, _| Vec::new());
+        let now = net.now;
+        let records = net.routers.iter().map(|r| r.dump(now).crash_records);
+        assert_eq!(records.sum::<usize>(), 0, "seed {seed}");
+    }
+}
+
+// Guards against trials at all instances at once where requests with a suspect were
+// absent for a while.
+#[test]
+fn a_suspect_that_returns_after_a_while_is_tried_by_few_instances() {
+    for seed in 0..6 {
+        let deadly = [DEADLY];
+        let mut net = play(seed, 18, 60.0, 0.05, &deadly, 1);
+        net.run(SECOND * 900, |_, _| Vec::new());
+        let before = net.crashes[0].len();
+        net.run(SECOND * 10, |rng, _| mixed(rng, 60.0, 0.2, &deadly, 1));
+        let after = net.crashes[0].len() - before;
+        assert!(after <= MAX_LATE, "seed {seed}: {after} crashes more");
+    }
+}
+
+// Guards against the stop of a target that is taken for a crash where its entry is
+// not up to date.
+#[test]
+fn a_target_that_says_that_it_leaves_has_not_crashed() {
+    let mut router = router(&[1]);
+    let service = target_id(0);
+    let query = TargetQuery {
+        service: &service,
+        prompt_prefix: None,
+        spread_hash: 0,
+        tried: &[],
+    };
+    let pick = router.choose(SECOND, &query).expect("a target");
+    assert!(!router.is_leaving(&pick.lease));
+    let notice = TargetNotice {
+        is_leaving: true,
+        retry_after: None,
+    };
+    router.record_notice(SECOND, &pick.lease, notice);
+    assert!(router.is_leaving(&pick.lease));
+}
