--- a/crates/decision/src/router/crashes.rs
+++ b/crates/decision/src/router/crashes.rs
@@ -35,8 +35,8 @@
 /// Longest duration of a quarantine.
 const MAX_QUARANTINE_TIME: Duration = Duration::from_secs(1_800);
 /// Interval at which the number of instances that may try a suspect doubles, up to a
-/// limit from which on they take turns. In
-/// this time a trial has usually ended and the others know how.
+/// limit, and others have their turn. In this time a trial has usually ended and the
+/// others know how.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
 /// Part of the instances, as its reciprocal, that may try a suspect at once at most.
 const TRIAL_SHARE: u64 = 8;
