Repeat quarantines in all pulses, not in one of five

An instance that had just started sent requests with parts that all others refused.

Cause: unchanged quarantines went out in one pulse a second only, with the 48 crashes that it has room for, of up to 24 for each fingerprint.

Change: each quarantine is still in one pulse a second, with its latest eight crashes, but they are spread over all pulses. The bound of a pulse stays.

--- a/crates/decision/src/router/crashes.rs
+++ b/crates/decision/src/router/crashes.rs
@@ -16,6 +16,7 @@
 use crate::fleet::Tag;
 use crate::id::{Fingerprint, Time};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -61,10 +62,13 @@
 const REPORT_AGE: Duration = Duration::from_secs(15);
 /// Time for which a record that has changed is in every pulse.
 const CHANGE_TIME: Duration = Duration::from_secs(2);
-/// Interval at which records that have not changed are in a pulse.
-const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Part of that interval in which they are: the interval of pulses.
-const REPEAT_TIME: Duration = Duration::from_millis(200);
+/// Interval of the pulses of an instance.
+const PULSE_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of pulses of which one has a quarantine that has not changed.
+const REPEAT_PULSES: u64 = 5;
+/// Maximum number of crashes of a quarantine that has not changed in a pulse, the
+/// latest ones.
+const MAX_REPEATED: usize = 8;
 /// Origin of the times on record before the start of this process, so that crashes
 /// before that have a time too.
 const ORIGIN: Duration = Duration::from_secs(24 * 3_600);
@@ -130,6 +134,13 @@
         self.crashes.iter().filter(|(_, c)| !c.cleared)
     }
 
+    /// Returns the latest crashes.
+    fn latest(&self, count: usize) -> impl Iterator<Item = (&Tag, &Crash)> {
+        let mut crashes: Vec<(&Tag, &Crash)> = self.crashes.iter().collect();
+        crashes.sort_unstable_by_key(|(target, crash)| (Reverse(crash.at), **target));
+        crashes.into_iter().take(count)
+    }
+
     /// Adds a crash or merges it with what is known of it; returns whether anything
     /// changed.
     fn merge(&mut self, target: Tag, crash: Crash) -> bool {
@@ -454,24 +465,30 @@
     }
 
     /// Returns the evidence for a pulse: what has changed lately, and from time to
-    /// time that of all quarantines. Where there is more than a pulse has room for,
+    /// time that of each quarantine. Where there is more than a pulse has room for,
     /// the next one continues.
     pub(super) fn reports(&self, now: Time) -> Vec<CrashReport> {
         if self.records.is_empty() {
             return Vec::new();
         }
         let now = now + ORIGIN;
-        let round = (now.as_millis() / REPEAT_TIME.as_millis()) as usize;
-        let is_repeat = now.as_millis() % REPEAT_INTERVAL.as_millis() < REPEAT_TIME.as_millis();
+        let round = (now.as_millis() / PULSE_INTERVAL.as_millis()) as u64;
         let (mut serious, mut single) = (Vec::new(), Vec::new());
         for (fingerprint, record) in &self.records {
             let is_changed = now.saturating_sub(record.changed_at) < CHANGE_TIME;
-            let is_due = is_changed || (is_repeat && record.until.is_some());
-            if !is_due {
-                continue;
-            }
+            // Instances that start need all quarantines soon, so that their repetitions
+            // are spread over the pulses.
+            let is_repeated = record.until.is_some()
+                && fingerprint
+                    .wrapping_add(round)
+                    .is_multiple_of(REPEAT_PULSES);
+            let count = match () {
+                () if is_changed => MAX_CRASHES,
+                () if is_repeated => MAX_REPEATED,
+                () => continue,
+            };
             let is_serious = record.open().nth(1).is_some();
-            for (target, crash) in &record.crashes {
+            for (target, crash) in record.latest(count) {
                 let age = now.saturating_sub(crash.at);
                 let report = CrashReport {
                     fingerprint: *fingerprint,
@@ -488,6 +505,7 @@
                 }
             }
         }
+        let round = round as usize;
         let mut reports = take_round(&serious, round, MAX_SERIOUS);
         let room = MAX_REPORTS - reports.len();
         reports.extend(take_round(&single, round, room));
--- a/crates/decision/tests/crashes.rs
+++ b/crates/decision/tests/crashes.rs
@@ -696,6 +696,32 @@
     }
 }
 
+// Guards against an instance that starts and learns of quarantines only one after the
+// other, so that it sends requests with those that come last.
+#[test]
+fn an_instance_that_starts_soon_knows_all_quarantines() {
+    const PARTS: Fingerprint = 30;
+    for seed in 0..4 {
+        let mut net = Net::new(seed, 18, 60);
+        for _ in 0..12 {
+            let now = net.now;
+            for part in 0..PARTS {
+                let target = net.rng.random_range(0..60);
+                crash_one(&mut net.routers[part as usize % 18], now, target, part);
+            }
+            net.run(Duration::from_millis(300), |_, _| Vec::new());
+        }
+        net.run(SECOND * 5, |_, _| Vec::new());
+        net.restart_instance(5);
+        net.run(CONTACT_TIME, |_, _| Vec::new());
+        let now = net.now;
+        let router = &mut net.routers[5];
+        let unknown = (0..PARTS).filter(|part| router.check_quarantine(now, &[*part]).is_ok());
+        assert_eq!(unknown.count(), 0, "seed {seed}");
+        assert!(net.most_reports <= 64, "{}", net.most_reports);
+    }
+}
+
 // Guards against the stop of a target that is taken for a crash where its entry is
 // not up to date.
 #[test]
