Take no echo from before a restart for a proof

A request reached a target 2,267 ms after its entry had been removed; 2,000 are allowed (DRAIN).

Cause: an instance that had been killed was up again under its name before a hub had heard of it. The hub's pulse still echoed a pulse of the process before, whose clock was another one. Such an echo of 18.6 s, 0.9 s after the start, proves that the table's copy was the newest in the future. Compared with the proof before, that is a gap in which the store was away, and for 2.2 s removed targets are kept that may return.

Change: an echo that is later than the instance's own clock proves nothing.

--- a/crates/decision/src/fleet/receive.rs
+++ b/crates/decision/src/fleet/receive.rs
@@ -56,7 +56,10 @@
             }
             None => {}
         }
-        let Some(echo) = pulse.echo_ms.map(Duration::from_millis) else {
+        // A sender that has not heard of this instance's start echoes a pulse from before
+        // it, whose time was on another clock.
+        let echo = pulse.echo_ms.map(Duration::from_millis);
+        let Some(echo) = echo.filter(|echo| *echo <= now) else {
             return FreshnessProofs::new();
         };
         let copies = pulse.copies.iter();
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -507,6 +507,32 @@
     assert!(at <= second, "{at:?}");
 }
 
+// Guards against a proof from the future: a hub that has not heard of the restart of an
+// instance echoes a pulse of the process before, whose clock was another one.
+#[test]
+fn an_echo_from_before_a_restart_proves_nothing() {
+    let (a, b) = (listing(0, 1), listing(1, 1));
+    let hub = Fleet::new(a.clone(), 1);
+    let mut restarted = Fleet::new(b, 2);
+    restarted.add_listed(Time::ZERO, vec![a.clone()]);
+    let status = CopyStatus {
+        version: 5,
+        changed: 5,
+        age_ms: 100,
+    };
+    let now = Duration::from_secs(1);
+    let proof = |fleet: &mut Fleet, echo_ms| {
+        let mut pulse = hub.join_pulse(now);
+        pulse.echo_ms = Some(echo_ms);
+        pulse.copies = vec![Some(status)];
+        let proofs = fleet.receive_pulse(now, &a.id, pulse);
+        proofs.first().copied().flatten()
+    };
+    assert_eq!(proof(&mut restarted, 18_600), None);
+    let at = proof(&mut restarted, 800).map(|(_, at)| at);
+    assert_eq!(at, Some(Duration::from_millis(700)));
+}
+
 #[test]
 fn a_leaving_instance_is_no_longer_live_at_the_others() {
     let mut net = Net::new(9, 3);
