Cut no response that its caller reads slowly

With an idle limit of 1.2 s a body of 7 MiB that is read at half a MB/s was cut after 3.6 MB. There were two causes, each of which cuts it alone:

- A connection counted as idle once the body of its response had been handed over, though most of it waited to be written.
- A write counts as progress only when the socket accepts bytes, and the send buffer, grown to 4 MB, accepts none until a third of it is free.

A connection is idle from when the last byte of a response is written, which is when hyper flushes its stream. What hyper holds back it has in memory as before; the kernel holds less.

a_response_that_is_read_slowly_is_complete failed before, "closed after 3604480 bytes", with only the first cause mended too, and passes.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use platform::directory::{ADDRESSES_MAX, READY_PATH, RESOLVE_PATH, ResolveResponse};
 use serde_json::json;
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -19,6 +20,8 @@
 
 /// Smallest buffer of a connection in bytes that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Limit on the bytes of a connection that its socket holds unsent.
+const UNSENT_BYTES: u32 = 128 << 10;
 /// Seconds for which a caller may cache the result of a lookup.
 const LOOKUP_TTL_S: u64 = 1;
 /// Number of TTLs for which some callers use the result of a lookup; a stopping
@@ -151,6 +154,10 @@
     if let Err(e) = tcp.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY: {e}");
     }
+    // Otherwise a write can fail to proceed for seconds although the caller reads.
+    if let Err(e) = SockRef::from(&tcp).set_tcp_notsent_lowat(UNSENT_BYTES) {
+        log::debug!("failed to set TCP_NOTSENT_LOWAT: {e}");
+    }
     let state = ConnectionState::new();
     let stream = TimedStream::new(tcp, state.clone(), gateway.limits.clone());
     let (shared, requests) = (gateway.clone(), state.clone());
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -89,6 +89,8 @@
     ReadingHead(Instant),
     /// Serving a request.
     Serving,
+    /// Writing the last bytes of a response.
+    Responding,
 }
 
 /// Timeout of a connection that can expire.
@@ -152,26 +154,33 @@
         match self.activity() {
             Activity::Unused(since) => since.elapsed() < max_delay,
             Activity::ReadingHead(_) => true,
-            Activity::Idle(_) | Activity::Serving => false,
+            Activity::Idle(_) | Activity::Serving | Activity::Responding => false,
         }
     }
 
     /// Records that a request head is complete. The connection counts as serving
-    /// the request until the returned guard is dropped; [`GuardedBody`] keeps it
-    /// together with the body of the response.
+    /// the request until the returned guard is dropped and what is left of the
+    /// response is written; [`GuardedBody`] keeps the guard together with the body.
     pub(crate) fn begin_request(&self) -> RequestGuard {
         self.set_activity(Activity::Serving);
         RequestGuard(self.clone())
     }
+
+    /// Records that all bytes that were to be written are written.
+    fn end_response(&self) {
+        if self.activity() == Activity::Responding {
+            self.set_activity(Activity::Idle(Instant::now()));
+        }
+    }
 }
 
-/// Marks its connection as idle again on drop.
+/// Marks the response of its connection as complete but for its last bytes on drop.
 #[derive(Debug)]
 pub(crate) struct RequestGuard(ConnectionState);
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.set_activity(Activity::Idle(Instant::now()));
+        self.0.set_activity(Activity::Responding);
     }
 }
 
@@ -248,7 +257,7 @@
                 (since + self.limits.idle_timeout(), Timeout::Idle)
             }
             Activity::ReadingHead(since) => (since + self.limits.header_timeout(), Timeout::Head),
-            Activity::Serving => return None,
+            Activity::Serving | Activity::Responding => return None,
         };
         let deadline = self.caught_up.map_or(deadline, |end| end.max(deadline));
         Some((deadline, timeout))
@@ -350,8 +359,11 @@
         self.poll_write_result(result, context)
     }
 
+    /// Flushes the stream, which the connection does once it has written all bytes.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(context)
+        ready!(Pin::new(&mut self.tcp).poll_flush(context))?;
+        self.state.end_response();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
