Serve what arrived before a stop closes its connection

A request in the socket of a kept connection was reset unread if the instance closed the connection at that moment.

When the instance begins to close connections, each of their tasks chose at random between reading and hyper's graceful shutdown, which closes an idle connection without looking into its socket.

A closing connection now ends in its stream, where the timeouts are: as the end of the stream once it is idle and nothing is left to read. So the request is always read first. A first request is waited for as before, and the rest of a head; the polling for them is gone. Connections that end so are counted as "closing".

Nothing is read after the close. No answer is possible then, and a caller may repeat a request only if it knows that it was not read.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -35,8 +35,6 @@
 /// Time before [`Phase::Closing`] from which a stopping instance takes on no stream
 /// that may outlast it.
 const LATE_MARGIN: Duration = Duration::from_millis(100);
-/// Time for which a stopping instance waits for the first request on a connection.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// File descriptors that callers' connections leave for those to the store, to
 /// targets and to other instances, and for files.
 const RESERVED_DESCRIPTORS: usize = 600;
@@ -176,18 +174,13 @@
     let closing = async {
         // Can't fail: the gateway keeps the sender.
         let _ = phase.wait_for(|p| *p == Phase::Closing).await;
-        // A graceful shutdown would close the connection before it has read a
-        // request whose head is incomplete.
-        while state.expects_request(FIRST_REQUEST_TIMEOUT) {
-            tokio::time::sleep(STOP_POLL).await;
-        }
+        state.close_when_idle();
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        // A graceful shutdown of hyper would close an idle connection before it has
+        // read a request that has arrived.
+        () = closing => connection.await,
     };
     match (state.expired(), ended) {
         (Some(timeout), _) => gateway.metrics.count("connections", timeout.label()),
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -19,6 +19,8 @@
 
 /// Delay of a timer from which on this instance was not running.
 const OWN_DELAY: Duration = Duration::from_millis(50);
+/// Time for which a closing connection waits for its first request.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time to read what arrived while this instance was not running.
 const CATCH_UP_TIME: Duration = Duration::from_millis(200);
 
@@ -100,6 +102,8 @@
 pub(crate) enum Timeout {
     /// No request came.
     Idle,
+    /// No request came on a connection that the instance closes.
+    Closing,
     /// A request head took too long.
     Head,
     /// The caller read nothing.
@@ -111,6 +115,7 @@
     pub(crate) fn label(self) -> &'static str {
         match self {
             Timeout::Idle => "idle_timeout",
+            Timeout::Closing => "closing",
             Timeout::Head => "head_timeout",
             Timeout::Write => "write_timeout",
         }
@@ -124,6 +129,8 @@
 #[derive(Debug)]
 struct StateCells {
     activity: Cell<Activity>,
+    /// Time from which on the connection ends once it is idle.
+    closing: Cell<Option<Instant>>,
     /// Timeout that has ended the connection.
     expired: Cell<Option<Timeout>>,
 }
@@ -132,6 +139,7 @@
     pub(crate) fn new() -> Self {
         ConnectionState(Rc::new(StateCells {
             activity: Cell::new(Activity::Unused(Instant::now())),
+            closing: Cell::new(None),
             expired: Cell::new(None),
         }))
     }
@@ -149,15 +157,11 @@
         self.0.activity.set(activity);
     }
 
-    /// Returns whether a request is on its way or likely to be: a part of its head
-    /// has arrived, or the connection was opened less than `max_delay` ago and has
-    /// not been used.
-    pub(crate) fn expects_request(&self, max_delay: Duration) -> bool {
-        match self.activity() {
-            Activity::Unused(since) => since.elapsed() < max_delay,
-            Activity::ReadingHead(_) => true,
-            Activity::Idle(_) | Activity::Serving | Activity::Responding => false,
-        }
+    /// Lets the connection end once it is idle. A first request is waited for, for
+    /// [`FIRST_REQUEST_TIMEOUT`] after the connection was opened, and so is the rest
+    /// of a head.
+    pub(crate) fn close_when_idle(&self) {
+        self.0.closing.set(Some(Instant::now()));
     }
 
     /// Records that a request head is complete. The connection counts as serving
@@ -255,14 +259,20 @@
         }
     }
 
-    /// Returns the time at which reading fails, and the timeout that expires then.
+    /// Returns the time at which reading ends, and the timeout that expires then.
     fn deadline(&self) -> Option<(Instant, Timeout)> {
-        let (deadline, timeout) = match self.state.activity() {
-            Activity::Unused(since) | Activity::Idle(since) => {
-                (since + self.limits.idle_timeout(), Timeout::Idle)
+        let closing = self.state.0.closing.get();
+        let idle = |since| since + self.limits.idle_timeout();
+        let (deadline, timeout) = match (self.state.activity(), closing) {
+            (Activity::Unused(since), Some(closing)) => {
+                (closing.max(since + FIRST_REQUEST_TIMEOUT), Timeout::Closing)
+            }
+            (Activity::Idle(since), Some(closing)) => (closing.max(since), Timeout::Closing),
+            (Activity::Unused(since) | Activity::Idle(since), None) => (idle(since), Timeout::Idle),
+            (Activity::ReadingHead(since), _) => {
+                (since + self.limits.header_timeout(), Timeout::Head)
             }
-            Activity::ReadingHead(since) => (since + self.limits.header_timeout(), Timeout::Head),
-            Activity::Serving | Activity::Responding => return None,
+            (Activity::Serving | Activity::Responding, _) => return None,
         };
         let deadline = self.caught_up.map_or(deadline, |end| end.max(deadline));
         Some((deadline, timeout))
@@ -286,15 +296,19 @@
         io::ErrorKind::TimedOut.into()
     }
 
-    /// Fails if the deadline for reading has passed; otherwise wakes the task at
-    /// the deadline.
+    /// Fails if the deadline for reading has passed, or ends the stream if it is of
+    /// a closing connection; otherwise wakes the task at the deadline.
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while let Some((deadline, timeout)) = self.deadline() {
             match self.poll_timer(deadline, context) {
                 Poll::Ready(()) if self.catch_up(deadline) => {}
                 // Their arrival wakes the task.
                 Poll::Ready(()) if self.has_unread_bytes() => return Poll::Pending,
-                Poll::Ready(()) => return Poll::Ready(Err(self.expire(timeout))),
+                Poll::Ready(()) => {
+                    let error = self.expire(timeout);
+                    let is_regular = timeout == Timeout::Closing;
+                    return Poll::Ready(if is_regular { Ok(()) } else { Err(error) });
+                }
                 Poll::Pending => return Poll::Pending,
             }
         }
