--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use platform::directory::{ADDRESSES_MAX, READY_PATH, RESOLVE_PATH, ResolveResponse};
 use serde_json::json;
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -19,6 +20,8 @@
 
 /// Smallest buffer of a connection in bytes that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Limit on the bytes of a connection that its socket holds unsent.
+const UNSENT_BYTES: u32 = 128 << 10;
 /// Seconds for which a caller may cache the result of a lookup.
 const LOOKUP_TTL_S: u64 = 1;
 /// Number of TTLs for which some callers use the result of a lookup; a stopping
@@ -32,8 +35,6 @@
 /// Time before [`Phase::Closing`] from which a stopping instance takes on no stream
 /// that may outlast it.
 const LATE_MARGIN: Duration = Duration::from_millis(100);
-/// Time for which a stopping instance waits for the first request on a connection.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// File descriptors that callers' connections leave for those to the store, to
 /// targets and to other instances, and for files.
 const RESERVED_DESCRIPTORS: usize = 600;
@@ -151,6 +152,10 @@
     if let Err(e) = tcp.set_nodelay(true) {
         log::debug!("failed to set TCP_NODELAY: {e}");
     }
+    // Otherwise a write can fail to proceed for seconds although the caller reads.
+    if let Err(e) = SockRef::from(&tcp).set_tcp_notsent_lowat(UNSENT_BYTES) {
+        log::debug!("failed to set TCP_NOTSENT_LOWAT: {e}");
+    }
     let state = ConnectionState::new();
     let stream = TimedStream::new(tcp, state.clone(), gateway.limits.clone());
     let (shared, requests) = (gateway.clone(), state.clone());
@@ -169,18 +174,13 @@
     let closing = async {
         // Can't fail: the gateway keeps the sender.
         let _ = phase.wait_for(|p| *p == Phase::Closing).await;
-        // A graceful shutdown would close the connection before it has read a
-        // request whose head is incomplete.
-        while state.expects_request(FIRST_REQUEST_TIMEOUT) {
-            tokio::time::sleep(STOP_POLL).await;
-        }
+        state.close_when_idle();
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+        // A graceful shutdown of hyper would close an idle connection before it has
+        // read a request that has arrived.
+        () = closing => connection.await,
     };
     match (state.expired(), ended) {
         (Some(timeout), _) => gateway.metrics.count("connections", timeout.label()),
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -2,11 +2,13 @@
 
 use decision::CallerLimits;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -17,6 +19,8 @@
 
 /// Delay of a timer from which on this instance was not running.
 const OWN_DELAY: Duration = Duration::from_millis(50);
+/// Time for which a closing connection waits for its first request.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time to read what arrived while this instance was not running.
 const CATCH_UP_TIME: Duration = Duration::from_millis(200);
 
@@ -89,6 +93,8 @@
     ReadingHead(Instant),
     /// Serving a request.
     Serving,
+    /// Writing the last bytes of a response.
+    Responding,
 }
 
 /// Timeout of a connection that can expire.
@@ -96,6 +102,8 @@
 pub(crate) enum Timeout {
     /// No request came.
     Idle,
+    /// No request came on a connection that the instance closes.
+    Closing,
     /// A request head took too long.
     Head,
     /// The caller read nothing.
@@ -107,6 +115,7 @@
     pub(crate) fn label(self) -> &'static str {
         match self {
             Timeout::Idle => "idle_timeout",
+            Timeout::Closing => "closing",
             Timeout::Head => "head_timeout",
             Timeout::Write => "write_timeout",
         }
@@ -120,6 +129,8 @@
 #[derive(Debug)]
 struct StateCells {
     activity: Cell<Activity>,
+    /// Time from which on the connection ends once it is idle.
+    closing: Cell<Option<Instant>>,
     /// Timeout that has ended the connection.
     expired: Cell<Option<Timeout>>,
 }
@@ -128,6 +139,7 @@
     pub(crate) fn new() -> Self {
         ConnectionState(Rc::new(StateCells {
             activity: Cell::new(Activity::Unused(Instant::now())),
+            closing: Cell::new(None),
             expired: Cell::new(None),
         }))
     }
@@ -145,33 +157,39 @@
         self.0.activity.set(activity);
     }
 
-    /// Returns whether a request is on its way or likely to be: a part of its head
-    /// has arrived, or the connection was opened less than `max_delay` ago and has
-    /// not been used.
-    pub(crate) fn expects_request(&self, max_delay: Duration) -> bool {
-        match self.activity() {
-            Activity::Unused(since) => since.elapsed() < max_delay,
-            Activity::ReadingHead(_) => true,
-            Activity::Idle(_) | Activity::Serving => false,
-        }
+    /// Lets the connection end once it is idle. A first request is waited for, for
+    /// [`FIRST_REQUEST_TIMEOUT`] after the connection was opened, and so is the rest
+    /// of a head.
+    pub(crate) fn close_when_idle(&self) {
+        self.0.closing.set(Some(Instant::now()));
     }
 
     /// Records that a request head is complete. The connection counts as serving
-    /// the request until the returned guard is dropped; [`GuardedBody`] keeps it
-    /// together with the body of the response.
+    /// the request until the returned guard is dropped and what is left of the
+    /// response is written; [`GuardedBody`] keeps the guard together with the body.
     pub(crate) fn begin_request(&self) -> RequestGuard {
         self.set_activity(Activity::Serving);
         RequestGuard(self.clone())
     }
+
+    /// Records that all bytes that were to be written are written. Returns whether
+    /// they end a response.
+    fn end_response(&self) -> bool {
+        let ended = self.activity() == Activity::Responding;
+        if ended {
+            self.set_activity(Activity::Idle(Instant::now()));
+        }
+        ended
+    }
 }
 
-/// Marks its connection as idle again on drop.
+/// Marks the response of its connection as complete but for its last bytes on drop.
 #[derive(Debug)]
 pub(crate) struct RequestGuard(ConnectionState);
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.set_activity(Activity::Idle(Instant::now()));
+        self.0.set_activity(Activity::Responding);
     }
 }
 
@@ -241,14 +259,20 @@
         }
     }
 
-    /// Returns the time at which reading fails, and the timeout that expires then.
+    /// Returns the time at which reading ends, and the timeout that expires then.
     fn deadline(&self) -> Option<(Instant, Timeout)> {
-        let (deadline, timeout) = match self.state.activity() {
-            Activity::Unused(since) | Activity::Idle(since) => {
-                (since + self.limits.idle_timeout(), Timeout::Idle)
+        let closing = self.state.0.closing.get();
+        let idle = |since| since + self.limits.idle_timeout();
+        let (deadline, timeout) = match (self.state.activity(), closing) {
+            (Activity::Unused(since), Some(closing)) => {
+                (closing.max(since + FIRST_REQUEST_TIMEOUT), Timeout::Closing)
+            }
+            (Activity::Idle(since), Some(closing)) => (closing.max(since), Timeout::Closing),
+            (Activity::Unused(since) | Activity::Idle(since), None) => (idle(since), Timeout::Idle),
+            (Activity::ReadingHead(since), _) => {
+                (since + self.limits.header_timeout(), Timeout::Head)
             }
-            Activity::ReadingHead(since) => (since + self.limits.header_timeout(), Timeout::Head),
-            Activity::Serving => return None,
+            (Activity::Serving | Activity::Responding, _) => return None,
         };
         let deadline = self.caught_up.map_or(deadline, |end| end.max(deadline));
         Some((deadline, timeout))
@@ -272,19 +296,41 @@
         io::ErrorKind::TimedOut.into()
     }
 
-    /// Fails if the deadline for reading has passed; otherwise wakes the task at
-    /// the deadline.
+    /// Fails if the deadline for reading has passed, or ends the stream if it is of
+    /// a closing connection; otherwise wakes the task at the deadline.
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while let Some((deadline, timeout)) = self.deadline() {
             match self.poll_timer(deadline, context) {
                 Poll::Ready(()) if self.catch_up(deadline) => {}
-                Poll::Ready(()) => return Poll::Ready(Err(self.expire(timeout))),
+                // Their arrival wakes the task.
+                Poll::Ready(()) if self.has_unread_bytes() => return Poll::Pending,
+                Poll::Ready(()) => {
+                    let error = self.expire(timeout);
+                    let is_regular = timeout == Timeout::Closing;
+                    return Poll::Ready(if is_regular { Ok(()) } else { Err(error) });
+                }
                 Poll::Pending => return Poll::Pending,
             }
         }
         Poll::Pending
     }
 
+    /// Returns whether bytes have arrived, even if the runtime does not know yet.
+    fn has_unread_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.tcp).peek(&mut byte);
+        matches!(peeked, Ok(count) if count > 0)
+    }
+
+    /// Wakes the task at the deadline for reading.
+    fn wake_at_deadline(&mut self, context: &mut Context<'_>) {
+        if let Some((deadline, _)) = self.deadline()
+            && self.poll_timer(deadline, context).is_ready()
+        {
+            context.waker().wake_by_ref();
+        }
+    }
+
     fn poll_timer(&mut self, deadline: Instant, context: &mut Context<'_>) -> Poll<()> {
         if self.timer.deadline() != deadline {
             self.timer.as_mut().reset(deadline);
@@ -350,8 +396,14 @@
         self.poll_write_result(result, context)
     }
 
+    /// Flushes the stream, which the connection does once it has written all bytes.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(context)
+        ready!(Pin::new(&mut self.tcp).poll_flush(context))?;
+        if self.state.end_response() {
+            // The next read may be as late as the next request.
+            self.wake_at_deadline(context);
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
