Answer every request before the instance exits

In a planned stop a request that took longer than the rest of the grace period ended with a closed connection: its caller got neither a response nor a promise, whether the request may run once or more often.

The stop waited until 400 ms before the end of the grace period and then let the process end with whatever was still in progress. Nothing told the requests.

A stop has a last phase now. When its time is up, a request that was sent to a target and whose response has not begun gets 504, one that was not sent, or whose body has not arrived, gets 503 with Retry-After, and its caller may try again elsewhere. 100 ms are left to send these responses; the instance still exits a quarter of a second before the end of the grace period. A stream whose response has begun ends with the connection, as before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{self, AttemptError, CallerRequest, LeaseGuard, OpenResponse};
 use crate::crashes;
 use crate::relay::{self, ResponseBody};
+use crate::state::Phase;
 use decision::{
     Admission, AttemptOutcome, Fingerprint, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId,
     TargetNotice, TargetQuery, Time, hash_parts,
@@ -34,6 +35,8 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Delay of a timer from which on this instance was not running.
 const OWN_DELAY: Duration = Duration::from_millis(50);
+/// Reason of an error response to a request that its instance can't complete.
+const ENDING: &str = "the instance exits";
 /// Interval at which another target is looked for while one is silent.
 const SUCCESSOR_PAUSE: Duration = Duration::from_millis(250);
 /// Range of the `Retry-After` header in seconds. The value is random, so that
@@ -114,7 +117,12 @@
         Ok(head) => head,
         Err(message) => return own_response(gateway, 400, message, None),
     };
-    let body = match read_body(gateway, body).await {
+    let read = tokio::select! {
+        biased;
+        read = read_body(gateway, body) => read,
+        () = gateway.ending() => return reject(gateway, &head, Refusal::Full, Some(ENDING)),
+    };
+    let body = match read {
         Ok(body) => body,
         Err((status, message)) => return own_response(gateway, status, message, None),
     };
@@ -343,6 +351,12 @@
         self.deadline.saturating_sub(self.gateway.now())
     }
 
+    /// Returns whether the deadline or the exit of the instance is too near for
+    /// another attempt.
+    fn is_out_of_time(&self) -> bool {
+        self.time_left() <= MIN_ATTEMPT_TIME || self.gateway.phase() == Phase::Ending
+    }
+
     /// Sends the request to a target and waits for the head of the response, or until
     /// the target has been silent for too long and another one is to take over.
     async fn send(&mut self, pick: &Pick) -> Result<OpenResponse, AttemptError> {
@@ -385,6 +399,7 @@
             cache_source: pick.cache_source,
             last_event: after,
         };
+        let is_sent = Cell::new(false);
         let recheck = || {
             let admitted = self.readmit();
             admitted.map_err(|refusal| AttemptError::NotSent(refusal.word().to_owned()))?;
@@ -393,11 +408,20 @@
             let admitted = router.recheck_quarantine(now, &self.fingerprints);
             available.and(admitted).map_err(AttemptError::Withheld)?;
             sent.notify_one();
+            is_sent.set(true);
             Ok(())
         };
         let notify = |notice| self.record_notice(&pick.lease, notice);
         let caller = &self.caller_request;
-        attempt::send(caller, pick, &added, timeout, recheck, notify).await
+        tokio::select! {
+            biased;
+            opened = attempt::send(caller, pick, &added, timeout, recheck, notify) => opened,
+            () = self.gateway.ending() => Err(if is_sent.get() {
+                AttemptError::Lost(ENDING.to_owned())
+            } else {
+                AttemptError::NotSent(ENDING.to_owned())
+            }),
+        }
     }
 
     /// Records what a response says of its target, and logs what is new of it.
@@ -479,19 +503,20 @@
         let (parts, body) = response.into_parts();
         let memory = self.gateway.memory.reservation();
         let collected = exchange::collect_reserved(body, MAX_RESPONSE_BYTES, memory);
-        let collected = tokio::time::timeout(self.time_left(), collected).await;
+        let collected = tokio::select! {
+            biased;
+            collected = collected => collected.map_err(AttemptError::from),
+            () = tokio::time::sleep(self.time_left()) => {
+                Err(AttemptError::Lost("the answer was not whole in time".to_owned()))
+            }
+            () = self.gateway.ending() => Err(AttemptError::Lost(ENDING.to_owned())),
+        };
         drop(driver);
         let body = match collected {
-            Ok(Ok(body)) => body,
-            Ok(Err(e)) => {
-                lease.end(AttemptOutcome::Broken);
-                return Err(e.into());
-            }
-            Err(_) => {
+            Ok(body) => body,
+            Err(error) => {
                 lease.end(AttemptOutcome::Broken);
-                return Err(AttemptError::Lost(
-                    "the answer was not whole in time".to_owned(),
-                ));
+                return Err(error);
             }
         };
         if parts.status.is_success() {
@@ -526,7 +551,7 @@
             self.runs += 1;
         }
         let may_retry = self.runs == 0 || self.may_run_again(self.runs);
-        let has_time = self.time_left() > MIN_ATTEMPT_TIME;
+        let has_time = !self.is_out_of_time();
         let has_token = || self.successor.is_some() || self.take_retry();
         if may_retry && has_time && (!error.may_have_arrived() || has_token()) {
             self.gateway.metrics.count("retries", error.label());
@@ -576,10 +601,9 @@
     /// Status 503 promises that the request did not run, so it is sent only if no
     /// attempt can have run it; otherwise 504 if time is up, else 502.
     fn give_up(&self, reason: &str, refusal: Option<Refusal>) -> Response<ResponseBody> {
-        let is_late = self.time_left() <= MIN_ATTEMPT_TIME;
         let status = match refusal {
             Some(_) if self.runs == 0 => 503,
-            _ if is_late => 504,
+            _ if self.is_out_of_time() => 504,
             _ => 502,
         };
         let (outcome, detail, wait) = match refusal {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -237,6 +237,7 @@
         biased;
         first = stream.next() => first,
         () = tokio::time::sleep(request.time_left()) => Err(no_event()),
+        () = request.gateway.ending() => Err(no_event()),
         successor = request.wait_for_first_byte(&target) => {
             request.successor = Some(successor);
             Err(no_event())
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,6 +27,8 @@
 /// Time before the end of the grace period at which a stopping instance exits,
 /// to do so before it is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Time for which a stopping instance sends the responses of [`Phase::Ending`].
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a stopping instance checks whether its work is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Time before [`Phase::Closing`] from which a stopping instance takes on no stream
@@ -102,7 +104,7 @@
     tokio::select! {
         () = accept_all(gateway, &listener, endpoint) => {}
         // Can't fail: the gateway keeps the sender.
-        _ = phase.wait_for(|p| *p == Phase::Closing) => {}
+        _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
     }
     // Closing the listener would reset these. They need the descriptors that are
     // reserved otherwise.
@@ -168,7 +170,7 @@
     let mut phase = gateway.phase.subscribe();
     let closing = async {
         // Can't fail: the gateway keeps the sender.
-        let _ = phase.wait_for(|p| *p == Phase::Closing).await;
+        let _ = phase.wait_for(|p| *p >= Phase::Closing).await;
         // A graceful shutdown would close the connection before it has read a
         // request whose head is incomplete.
         while state.expects_request(FIRST_REQUEST_TIMEOUT) {
@@ -284,7 +286,11 @@
     // A connection may have received a request that is not counted yet.
     let is_busy = || gateway.requests.get() > 0 || gateway.connections.get() > 0;
     while elapsed() < limit && is_busy() {
-        tokio::time::sleep(STOP_POLL).await;
+        tokio::time::sleep(STOP_POLL.min(limit.saturating_sub(elapsed()))).await;
+    }
+    gateway.phase.send_replace(Phase::Ending);
+    if is_busy() {
+        tokio::time::sleep(LAST_RESPONSES_TIME).await;
     }
     // Gives the sockets time to send the last bytes.
     tokio::time::sleep(STOP_POLL).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,6 +46,8 @@
     Leaving,
     /// It accepts no connections and closes those without a request.
     Closing,
+    /// It is about to exit: requests without a response get an error.
+    Ending,
 }
 
 /// State shared by the tasks of one instance, all of which run on one thread.
@@ -127,6 +129,13 @@
         *self.phase.borrow()
     }
 
+    /// Waits for [`Phase::Ending`].
+    pub(crate) async fn ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // Can't fail: the sender is a field of `self`.
+        let _ = phase.wait_for(|p| *p == Phase::Ending).await;
+    }
+
     /// Returns whether the instance knows a configuration and the targets.
     pub(crate) fn is_started(&self) -> bool {
         let has_targets = self.copies.borrow()[TARGETS].version().is_some();
