Refuse what may outlast a stop and can't be sent again

A request that may run once and came more than 2.9 s after the start of a planned stop was sent to a target even if the instance exits before its deadline. If the target took that long, the caller got 504 and could not send it again.

Only streams were refused then. From 2.9 s on, when the instance has left the directory for about as long as callers keep a lookup, a request that may run once is refused too if its deadline is later than the exit: 503 with Retry-After promises that it has not run, and its caller goes to another instance.

What else was weighed:

- Refusing from the start of the stop on would refuse every request whose deadline is longer than the rest of the grace period, of callers whose lookup still names the instance.
- An idempotent request is still served: its caller can send it again should it get 504.
- Observed response times would allow a few more of the last requests, of the last tenth of a second before connections are closed, at the price of a guess about the longest one.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,8 +6,8 @@
 use crate::relay::{self, ResponseBody};
 use crate::state::Phase;
 use decision::{
-    Admission, AttemptOutcome, Fingerprint, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId,
-    TargetNotice, TargetQuery, Time, hash_parts,
+    Admission, AttemptOutcome, Fingerprint, Lease, Pick, PoolView, Refusal, RetryPolicy, Route,
+    TargetId, TargetNotice, TargetQuery, Time, hash_parts,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -140,8 +140,7 @@
     let timeout = admission.route.timeout;
     let allowed = head.timeout.map_or(timeout, |w| w.min(timeout));
     let deadline = arrived + allowed;
-    let outlasts = gateway.exit.get().is_some_and(|exit| deadline > exit);
-    if outlasts && admission.route.retry_policy.is_stream() {
+    if comes_too_late(gateway, &admission.route, deadline) {
         return reject(gateway, &head, Refusal::Full, Some("the instance stops"));
     }
     let caller_request = CallerRequest {
@@ -171,6 +170,30 @@
     request.run().await
 }
 
+/// Returns whether the instance stops and may exit before a request has its response.
+fn comes_too_late(gateway: &SharedGateway, route: &Route, deadline: Time) -> bool {
+    match gateway.exit.get() {
+        Some(exit) if deadline > exit => match route.retry_policy {
+            // Its caller can send it again if it gets no response after all.
+            RetryPolicy::Idempotent => {
+                exit.saturating_sub(gateway.now()) < usual_response_time(route)
+            }
+            RetryPolicy::Once | RetryPolicy::Stream | RetryPolicy::Resumable => true,
+        },
+        _ => false,
+    }
+}
+
+/// Returns the time in which a target usually sends the head of a response, and
+/// then the first event of a stream.
+fn usual_response_time(route: &Route) -> Duration {
+    let factor = match route.retry_policy {
+        RetryPolicy::Idempotent => IDEMPOTENT_FACTOR,
+        _ => RESUMABLE_FACTOR,
+    };
+    route.ttfb_goal.mul_f64(factor)
+}
+
 /// Guard that counts a request as being served until it is dropped.
 pub(crate) struct RequestCounter(SharedGateway);
 
@@ -473,12 +496,7 @@
     /// Returns the time in which a target usually sends the head of a response, and
     /// then the first event of a stream.
     pub(crate) fn first_byte_limit(&self) -> Duration {
-        let route = &self.admission.route;
-        let factor = match route.retry_policy {
-            RetryPolicy::Idempotent => IDEMPOTENT_FACTOR,
-            _ => RESUMABLE_FACTOR,
-        };
-        route.ttfb_goal.mul_f64(factor)
+        usual_response_time(&self.admission.route)
     }
 
     fn is_stream(&self, opened: &OpenResponse) -> bool {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -31,8 +31,8 @@
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a stopping instance checks whether its work is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// Time before [`Phase::Closing`] from which a stopping instance takes on no stream
-/// that may outlast it.
+/// Time before [`Phase::Closing`] from which a stopping instance takes on no request
+/// that may outlast it, except for idempotent ones.
 const LATE_MARGIN: Duration = Duration::from_millis(100);
 /// Time for which a stopping instance waits for the first request on a connection.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
@@ -278,8 +278,8 @@
     let lookups = Duration::from_secs(LOOKUP_TTL_S) * LOOKUP_TTLS;
     let limit = grace.saturating_sub(KILL_MARGIN);
     let elapsed = || gateway.now().saturating_sub(started);
-    let last_streams = lookups.saturating_sub(LATE_MARGIN);
-    tokio::time::sleep(last_streams.saturating_sub(elapsed())).await;
+    let last_requests = lookups.saturating_sub(LATE_MARGIN);
+    tokio::time::sleep(last_requests.saturating_sub(elapsed())).await;
     gateway.exit.set(Some(started + limit));
     tokio::time::sleep(lookups.saturating_sub(elapsed())).await;
     gateway.phase.send_replace(Phase::Closing);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -64,8 +64,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) event_log: EventLog,
     pub(crate) phase: tokio::sync::watch::Sender<Phase>,
-    /// Time at which a stopping instance exits, once it takes on no stream that may
-    /// last longer.
+    /// Time at which a stopping instance exits, once it takes on no request that may
+    /// last longer and can't be sent again.
     pub(crate) exit: Cell<Option<Time>>,
     /// Requests that are being served.
     pub(crate) requests: Cell<usize>,
