--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -76,7 +76,9 @@
     fn record(&mut self, now: Time, notice: TargetNotice) -> NoticeChange {
         let leaves = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
-        let until = notice.retry_after.map_or(Time::ZERO, |after| now + after);
+        let until = notice
+            .retry_after
+            .map_or(Time::ZERO, |after| now.saturating_add(after));
         let was_paused = self.paused_until > Time::ZERO;
         let gap = now.saturating_sub(self.paused_until);
         let pauses = until > now && (!was_paused || gap >= MIN_PAUSE_GAP);
@@ -224,7 +226,7 @@
         let known = self.by_id.get_mut(id);
         match known {
             Some(state) if state.entry.started_ms == entry.started_ms => {
-                let cold_until = now + entry.cold_left;
+                let cold_until = now.saturating_add(entry.cold_left);
                 if entry.cold_left > Duration::ZERO {
                     state.cold_until = state.cold_until.max(cold_until);
                 }
@@ -245,7 +247,7 @@
                 let state = TargetState {
                     tag: target_tag(id),
                     generation: self.last_generation,
-                    cold_until: now + cold_left,
+                    cold_until: now.saturating_add(cold_left),
                     ejected_until: Time::ZERO,
                     availability: known.map(|r| r.availability).unwrap_or_default(),
                     own: 0,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -275,12 +275,18 @@
 
     fn apply_target_row(&self, row: &Row) {
         let id: TargetId = row.key.clone();
-        let entry = (!row.removed)
-            .then(|| documents::decode_target_row(row))
-            .flatten();
-        if entry.is_none() && !row.removed {
-            self.metrics.count("unreadable_rows", "targets");
-        }
+        let entry = match documents::decode_target_row(row) {
+            _ if row.removed => None,
+            Ok(entry) => Some(entry),
+            Err(e) => {
+                self.metrics.count("unreadable_rows", "targets");
+                self.event_log.state_change(&json!({
+                    "event": "unreadable entry", "target": id, "row": row.version,
+                    "error": e.to_string(),
+                }));
+                None
+            }
+        };
         self.event_log.state_change(&json!({
             "event": "target", "target": id, "row": row.version, "removed": row.removed,
             "state": entry.as_ref().map(|e| e.stage),
