--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -30,10 +30,12 @@
 /// Time before the end of the grace period at which a stopping instance exits,
 /// to do so before it is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Time for which a stopping instance sends the responses of [`Phase::Ending`].
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a stopping instance checks whether its work is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// Time before [`Phase::Closing`] from which a stopping instance takes on no stream
-/// that may outlast it.
+/// Time before [`Phase::Closing`] from which a stopping instance takes on no request
+/// that may outlast it, except for idempotent ones.
 const LATE_MARGIN: Duration = Duration::from_millis(100);
 /// File descriptors that callers' connections leave for those to the store, to
 /// targets and to other instances, and for files.
@@ -103,7 +105,7 @@
     tokio::select! {
         () = accept_all(gateway, &listener, endpoint) => {}
         // Can't fail: the gateway keeps the sender.
-        _ = phase.wait_for(|p| *p == Phase::Closing) => {}
+        _ = phase.wait_for(|p| *p >= Phase::Closing) => {}
     }
     // Closing the listener would reset these. They need the descriptors that are
     // reserved otherwise.
@@ -173,7 +175,7 @@
     let mut phase = gateway.phase.subscribe();
     let closing = async {
         // Can't fail: the gateway keeps the sender.
-        let _ = phase.wait_for(|p| *p == Phase::Closing).await;
+        let _ = phase.wait_for(|p| *p >= Phase::Closing).await;
         state.close_when_idle();
     };
     let ended = tokio::select! {
@@ -276,15 +278,19 @@
     let lookups = Duration::from_secs(LOOKUP_TTL_S) * LOOKUP_TTLS;
     let limit = grace.saturating_sub(KILL_MARGIN);
     let elapsed = || gateway.now().saturating_sub(started);
-    let last_streams = lookups.saturating_sub(LATE_MARGIN);
-    tokio::time::sleep(last_streams.saturating_sub(elapsed())).await;
+    let last_requests = lookups.saturating_sub(LATE_MARGIN);
+    tokio::time::sleep(last_requests.saturating_sub(elapsed())).await;
     gateway.exit.set(Some(started + limit));
     tokio::time::sleep(lookups.saturating_sub(elapsed())).await;
     gateway.phase.send_replace(Phase::Closing);
     // A connection may have received a request that is not counted yet.
     let is_busy = || gateway.requests.get() > 0 || gateway.connections.get() > 0;
     while elapsed() < limit && is_busy() {
-        tokio::time::sleep(STOP_POLL).await;
+        tokio::time::sleep(STOP_POLL.min(limit.saturating_sub(elapsed()))).await;
+    }
+    gateway.phase.send_replace(Phase::Ending);
+    if is_busy() {
+        tokio::time::sleep(LAST_RESPONSES_TIME).await;
     }
     // Gives the sockets time to send the last bytes.
     tokio::time::sleep(STOP_POLL).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,6 +46,8 @@
     Leaving,
     /// It accepts no connections and closes those without a request.
     Closing,
+    /// It is about to exit: requests without a response get an error.
+    Ending,
 }
 
 /// State shared by the tasks of one instance, all of which run on one thread.
@@ -62,8 +64,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) event_log: EventLog,
     pub(crate) phase: tokio::sync::watch::Sender<Phase>,
-    /// Time at which a stopping instance exits, once it takes on no stream that may
-    /// last longer.
+    /// Time at which a stopping instance exits, once it takes on no request that may
+    /// last longer and can't be sent again.
     pub(crate) exit: Cell<Option<Time>>,
     /// Requests that are being served.
     pub(crate) requests: Cell<usize>,
@@ -127,6 +129,13 @@
         *self.phase.borrow()
     }
 
+    /// Waits for [`Phase::Ending`].
+    pub(crate) async fn ending(&self) {
+        let mut phase = self.phase.subscribe();
+        // Can't fail: the sender is a field of `self`.
+        let _ = phase.wait_for(|p| *p == Phase::Ending).await;
+    }
+
     /// Returns whether the instance knows a configuration and the targets.
     pub(crate) fn is_started(&self) -> bool {
         let has_targets = self.copies.borrow()[TARGETS].version().is_some();
@@ -266,12 +275,18 @@
 
     fn apply_target_row(&self, row: &Row) {
         let id: TargetId = row.key.clone();
-        let entry = (!row.removed)
-            .then(|| documents::decode_target_row(row))
-            .flatten();
-        if entry.is_none() && !row.removed {
-            self.metrics.count("unreadable_rows", "targets");
-        }
+        let entry = match documents::decode_target_row(row) {
+            _ if row.removed => None,
+            Ok(entry) => Some(entry),
+            Err(e) => {
+                self.metrics.count("unreadable_rows", "targets");
+                self.event_log.state_change(&json!({
+                    "event": "unreadable entry", "target": id, "row": row.version,
+                    "error": e.to_string(),
+                }));
+                None
+            }
+        };
         self.event_log.state_change(&json!({
             "event": "target", "target": id, "row": row.version, "removed": row.removed,
             "state": entry.as_ref().map(|e| e.stage),
