Let a new limit on heads hold for open connections

After a configuration had raised the limit on request heads, open connections still refused larger ones with 431: hyper's buffer has the size that it is built with, which was that in force when the connection was accepted. A lowered limit held for new connections only, there at once, though callers may go by the earlier one for some seconds.

When the size changes, a connection is taken out of hyper and served anew with the new one, as soon as no request is received or served on it. Bytes that had been read ahead are read again. So the limit is exact, and no buffer is larger than the configuration allows. Like the timeouts, the larger of two limits holds for 5 s after a change.

Failed before: a_raised_limit_on_heads_holds_for_open_connections (431 for a head of 40 KiB where 64 KiB are allowed, on connections that were unused, idle and busy at the change), a_head_that_crosses_a_change_of_its_limit_is_served (431) and a_lowered_limit_on_heads_holds_once_callers_know_of_it (200).

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -157,30 +157,42 @@
         log::debug!("failed to set TCP_NOTSENT_LOWAT: {e}");
     }
     let state = ConnectionState::new();
-    let stream = TimedStream::new(tcp, state.clone(), gateway.limits.clone());
+    let mut stream = TimedStream::new(tcp, state.clone(), gateway.limits.clone());
     let (shared, requests) = (gateway.clone(), state.clone());
-    let service = service_fn(move |request| {
+    let mut service = service_fn(move |request| {
         let (gateway, guard) = (shared.clone(), requests.begin_request());
         async move {
             let response = respond(&gateway, request, from, endpoint).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
-    let connection = http1::Builder::new()
-        .max_buf_size(gateway.limits.header_bytes().max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     let mut phase = gateway.phase.subscribe();
     let closing = async {
         // Can't fail: the gateway keeps the sender.
         let _ = phase.wait_for(|p| *p == Phase::Closing).await;
         state.close_when_idle();
     };
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        // A graceful shutdown of hyper would close an idle connection before it has
-        // read a request that has arrived.
-        () = closing => connection.await,
+    let mut closing = std::pin::pin!(closing);
+    let ended = loop {
+        let header_bytes = gateway.limits.header_bytes();
+        let mut connection = http1::Builder::new()
+            .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        let resized = async {
+            gateway.limits.wait_for_other_buffer(header_bytes).await;
+            state.wait_until_idle().await;
+        };
+        tokio::select! {
+            ended = &mut connection => break ended,
+            // A graceful shutdown of hyper would close an idle connection before it has
+            // read a request that has arrived.
+            () = closing.as_mut() => break connection.await,
+            () = resized => {}
+        }
+        // The size of hyper's buffer is fixed.
+        let parts = connection.into_parts();
+        stream = parts.io.into_inner().with_unread(parts.read_buf);
+        service = parts.service;
     };
     match (state.expired(), ended) {
         (Some(timeout), _) => gateway.metrics.count("connections", timeout.label()),
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep};
 
 /// Time for which callers may still go by limits that have been replaced.
@@ -32,6 +33,8 @@
     current: Cell<Option<CallerLimits>>,
     /// Limits that were replaced last, and the end of their grace period.
     replaced: Cell<Option<(CallerLimits, Instant)>>,
+    /// Notified when the limits are replaced.
+    updated: Notify,
 }
 
 impl ConnectionLimits {
@@ -39,6 +42,7 @@
         ConnectionLimits {
             current: Cell::default(),
             replaced: Cell::default(),
+            updated: Notify::new(),
         }
     }
 
@@ -48,6 +52,7 @@
             Some(current) if current == limits => return,
             Some(current) => {
                 let replaced = CallerLimits {
+                    header_bytes: self.header_bytes(),
                     header_timeout: self.header_timeout(),
                     idle_timeout: self.idle_timeout(),
                     ..current
@@ -58,25 +63,43 @@
             None => {}
         }
         self.current.set(Some(limits));
+        self.updated.notify_waiters();
     }
 
     /// Returns the size of the buffer that a request head must fit in.
     pub(crate) fn header_bytes(&self) -> usize {
-        self.current.get().unwrap_or_default().header_bytes
+        self.largest(|limits| limits.header_bytes)
+    }
+
+    /// Waits until the size of the buffer is no longer `bytes`.
+    pub(crate) async fn wait_for_other_buffer(&self, bytes: usize) {
+        loop {
+            let updated = self.updated.notified();
+            if self.header_bytes() != bytes {
+                return;
+            }
+            match self.replaced.get() {
+                Some((_, end)) if Instant::now() < end => {
+                    // Checked again at the end of the grace period as after an update.
+                    let _ = tokio::time::timeout_at(end, updated).await;
+                }
+                _ => updated.await,
+            }
+        }
     }
 
     fn header_timeout(&self) -> Duration {
-        self.longest(|limits| limits.header_timeout)
+        self.largest(|limits| limits.header_timeout)
     }
 
     fn idle_timeout(&self) -> Duration {
-        self.longest(|limits| limits.idle_timeout)
+        self.largest(|limits| limits.idle_timeout)
     }
 
-    fn longest(&self, timeout: impl Fn(&CallerLimits) -> Duration) -> Duration {
-        let current = timeout(&self.current.get().unwrap_or_default());
+    fn largest<T: Ord>(&self, limit: impl Fn(&CallerLimits) -> T) -> T {
+        let current = limit(&self.current.get().unwrap_or_default());
         match self.replaced.get() {
-            Some((replaced, end)) if Instant::now() < end => current.max(timeout(&replaced)),
+            Some((replaced, end)) if Instant::now() < end => current.max(limit(&replaced)),
             _ => current,
         }
     }
@@ -129,6 +152,8 @@
 #[derive(Debug)]
 struct StateCells {
     activity: Cell<Activity>,
+    /// Notified when a response ends.
+    response_ended: Notify,
     /// Time from which on the connection ends once it is idle.
     closing: Cell<Option<Instant>>,
     /// Timeout that has ended the connection.
@@ -139,6 +164,7 @@
     pub(crate) fn new() -> Self {
         ConnectionState(Rc::new(StateCells {
             activity: Cell::new(Activity::Unused(Instant::now())),
+            response_ended: Notify::new(),
             closing: Cell::new(None),
             expired: Cell::new(None),
         }))
@@ -178,9 +204,17 @@
         let ended = self.activity() == Activity::Responding;
         if ended {
             self.set_activity(Activity::Idle(Instant::now()));
+            self.0.response_ended.notify_one();
         }
         ended
     }
+
+    /// Waits until no request is being received or served.
+    pub(crate) async fn wait_until_idle(&self) {
+        while !matches!(self.activity(), Activity::Unused(_) | Activity::Idle(_)) {
+            self.0.response_ended.notified().await;
+        }
+    }
 }
 
 /// Marks the response of its connection as complete but for its last bytes on drop.
@@ -234,6 +268,8 @@
 /// if the caller reads nothing for the idle timeout.
 pub(crate) struct TimedStream {
     tcp: TcpStream,
+    /// Bytes that are read before those of `tcp`.
+    unread: Bytes,
     state: ConnectionState,
     limits: Rc<ConnectionLimits>,
     timer: Pin<Box<Sleep>>,
@@ -251,6 +287,7 @@
     ) -> Self {
         TimedStream {
             tcp,
+            unread: Bytes::new(),
             state,
             timer: Box::pin(tokio::time::sleep(limits.idle_timeout())),
             limits,
@@ -259,6 +296,12 @@
         }
     }
 
+    /// Returns the stream with bytes that have been read from it and are to be read
+    /// again.
+    pub(crate) fn with_unread(self, unread: Bytes) -> Self {
+        TimedStream { unread, ..self }
+    }
+
     /// Returns the time at which reading ends, and the timeout that expires then.
     fn deadline(&self) -> Option<(Instant, Timeout)> {
         let closing = self.state.0.closing.get();
@@ -331,6 +374,19 @@
         }
     }
 
+    fn poll_read_bytes(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.unread.is_empty() {
+            return Pin::new(&mut self.tcp).poll_read(context, buffer);
+        }
+        let count = self.unread.len().min(buffer.remaining());
+        buffer.put_slice(&self.unread.split_to(count));
+        Poll::Ready(Ok(()))
+    }
+
     fn poll_timer(&mut self, deadline: Instant, context: &mut Context<'_>) -> Poll<()> {
         if self.timer.deadline() != deadline {
             self.timer.as_mut().reset(deadline);
@@ -363,7 +419,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        match Pin::new(&mut self.tcp).poll_read(context, buffer) {
+        match self.poll_read_bytes(context, buffer) {
             Poll::Pending => self.poll_deadline(context),
             Poll::Ready(Ok(())) if buffer.filled().len() > before => {
                 if let Activity::Unused(_) | Activity::Idle(_) = self.state.activity() {
