Count no withheld request against its target

Callers saw less use of a sound target after a key was removed. A request whose key is removed between the choice of its target and the opening of the connection is not sent; that counted as a failure of the target, as if it could not be reached. Four in a row eject it.

The check reported the refusal as AttemptError::NotSent. It now reports AttemptError::Withheld, as the checks of the target's notices and of quarantines do beside it, whose outcome says nothing of the target.

a_request_whose_key_is_removed_does_not_count_against_its_target failed before: after eight such requests in one pause of the instance the target was ejected (aside_ms 999).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -73,8 +73,8 @@
 pub(crate) enum AttemptError {
     /// No byte of the request was sent.
     NotSent(String),
-    /// No byte of the request was sent, because the target takes none for now or
-    /// leaves.
+    /// No byte of the request was sent, because it is no longer admitted, or the
+    /// target takes none for now or leaves.
     Withheld(Refusal),
     /// The target is full and did not run the request.
     Full,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -386,8 +386,7 @@
             last_event: after,
         };
         let recheck = || {
-            let admitted = self.readmit();
-            admitted.map_err(|refusal| AttemptError::NotSent(refusal.word().to_owned()))?;
+            self.readmit().map_err(AttemptError::Withheld)?;
             let (router, now) = (self.gateway.router.borrow(), self.gateway.now());
             let available = router.recheck_target(now, &pick.lease);
             let admitted = router.recheck_quarantine(now, &self.fingerprints);
