Move responses and target streams to modules

forward.rs and relay.rs held four concerns. The responses that callers get and their bodies are in responses.rs now, the stream of events from one target in target_stream.rs. No change of behavior.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,8 +1,7 @@
 //! Control endpoint: metrics and a dump of the instance's state.
 
 use crate::SharedGateway;
-use crate::forward::own_response;
-use crate::relay::{ResponseBody, full_body};
+use crate::responses::{ResponseBody, full_body, own_response};
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,8 @@
 use crate::SharedGateway;
 use crate::attempt::{self, AttemptError, CallerRequest, LeaseGuard, OpenResponse};
 use crate::crashes;
-use crate::relay::{self, ResponseBody};
+use crate::relay;
+use crate::responses::{ResponseBody, full_body, own_response};
 use decision::{
     Admission, AttemptOutcome, Fingerprint, Lease, Pick, PoolView, Refusal, RetryPolicy, TargetId,
     TargetNotice, TargetQuery, Time, hash_parts,
@@ -11,7 +12,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode, header};
+use hyper::{Request, Response, header};
 use platform::requests::{self, AddedHeaders, CallerHead};
 use rand::Rng;
 use serde::Serialize;
@@ -510,7 +511,7 @@
         let is_failure = parts.status.is_server_error();
         let outcome = if is_failure { "failed" } else { "whole" };
         self.log_end(outcome, parts.status.as_u16(), &Value::Null);
-        let mut response = Response::new(relay::full_body(body));
+        let mut response = Response::new(full_body(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = requests::end_to_end_headers(&parts.headers);
         response.headers_mut().remove(header::CONTENT_LENGTH);
@@ -669,39 +670,3 @@
     let wait = (status == 503).then(retry_after);
     own_response(gateway, status, refusal.word(), wait)
 }
-
-/// Builds a response with an error message from the gateway itself rather than
-/// from a target.
-pub(crate) fn own_response(
-    gateway: &SharedGateway,
-    status: u16,
-    message: &str,
-    retry_after: Option<f64>,
-) -> Response<ResponseBody> {
-    gateway.metrics.count("own_answers", status_label(status));
-    let body = json!({ "error": message }).to_string();
-    let mut response = Response::new(relay::full_body(Bytes::from(body)));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let headers = response.headers_mut();
-    let json_type = header::HeaderValue::from_static("application/json");
-    headers.insert(header::CONTENT_TYPE, json_type);
-    if let Some(wait) = retry_after
-        && let Ok(value) = header::HeaderValue::try_from(format!("{wait:.2}"))
-    {
-        headers.insert(header::RETRY_AFTER, value);
-    }
-    response
-}
-
-fn status_label(status: u16) -> &'static str {
-    match status {
-        400 => "400",
-        401 => "401",
-        404 => "404",
-        413 => "413",
-        502 => "502",
-        503 => "503",
-        504 => "504",
-        _ => "other",
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,10 +18,12 @@
 mod forward;
 mod metrics;
 mod relay;
+mod responses;
 mod server;
 mod settings;
 mod sse;
 mod state;
+mod target_stream;
 mod timeouts;
 mod watch;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,22 +3,18 @@
 //! If a target fails in the middle of a resumable stream, the stream continues at
 //! another target after the last event that the caller got.
 
-use crate::SharedGateway;
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
 use crate::crashes::{self, StreamProgress};
 use crate::forward::{Choice, ForwardedRequest, RequestCounter};
-use crate::sse::{SseEvent, SseSplitter};
+use crate::responses::{ChannelBody, ResponseBody, Truncated};
+use crate::sse::SseEvent;
+use crate::target_stream::{TargetStream, cut, lost};
 use decision::{AttemptOutcome, Pick, Refusal, RetryPolicy, TargetId, Time};
-use exchange::Reservation;
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Bytes, Frame, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::Bytes;
 use hyper::{HeaderMap, Response, StatusCode, header};
 use platform::requests;
 use serde_json::{Value, json};
-use std::collections::VecDeque;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
 
@@ -40,189 +36,6 @@
 /// or could not be reached.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
-/// Start of the first line of a response.
-const STATUS_LINE: &[u8] = b"HTTP/1.";
-
-/// Body of a response to a caller.
-pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, Truncated>;
-
-/// Error that ends a body before it is complete, so that the caller's connection
-/// is closed and the caller notices.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Truncated;
-
-impl std::fmt::Display for Truncated {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the response is incomplete")
-    }
-}
-
-impl std::error::Error for Truncated {}
-
-/// Builds a body from bytes that are available already.
-pub(crate) fn full_body(body: Bytes) -> ResponseBody {
-    Full::new(body)
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
-
-/// Body whose frames arrive through a channel.
-struct ChannelBody {
-    frames: mpsc::Receiver<Result<Bytes, Truncated>>,
-    /// Error to be returned after the frames before it have been flushed.
-    error: Option<Truncated>,
-}
-
-impl Body for ChannelBody {
-    type Data = Bytes;
-    type Error = Truncated;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        if let Some(error) = self.error.take() {
-            return Poll::Ready(Some(Err(error)));
-        }
-        match self.frames.poll_recv(context) {
-            // The server drops what it has buffered when the body fails, and flushes
-            // it when the body is pending.
-            Poll::Ready(Some(Err(error))) => {
-                self.error = Some(error);
-                context.waker().wake_by_ref();
-                Poll::Pending
-            }
-            frame => frame.map(|f| f.map(|f| f.map(Frame::data))),
-        }
-    }
-}
-
-fn lost(message: &str) -> AttemptError {
-    AttemptError::Lost(message.to_owned())
-}
-
-/// Error of a stream whose end may be that of its target.
-fn cut(message: &str) -> AttemptError {
-    AttemptError::Disconnected(message.to_owned())
-}
-
-/// Returns whether a line of an event is the first line of a response.
-fn has_response_head(event: &[u8]) -> bool {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    lines.any(|line| line.starts_with(STATUS_LINE))
-}
-
-/// Stream of events from one target.
-struct TargetStream {
-    body: Incoming,
-    /// Keeps the connection open; `None` once the stream is closed.
-    driver: Option<exchange::Driver>,
-    lease: Option<LeaseGuard>,
-    target: TargetId,
-    splitter: SseSplitter,
-    memory: Reservation,
-    /// Events that have been read and not yet returned.
-    events: VecDeque<SseEvent>,
-    /// Whether the body has ended.
-    is_finished: bool,
-    /// Whether no event has arrived.
-    is_empty: bool,
-    /// Whether the stream may end without a new event: it continues another one, and
-    /// its end is marked.
-    may_be_empty: bool,
-}
-
-impl TargetStream {
-    fn new(
-        gateway: &SharedGateway,
-        opened: OpenResponse,
-        lease: LeaseGuard,
-        is_resumed: bool,
-    ) -> (hyper::http::response::Parts, TargetStream) {
-        let OpenResponse {
-            response, driver, ..
-        } = opened;
-        let (parts, body) = response.into_parts();
-        let stream = TargetStream {
-            body,
-            driver: Some(driver),
-            target: lease.target().clone(),
-            lease: Some(lease),
-            splitter: SseSplitter::default(),
-            memory: gateway.memory.reservation(),
-            events: VecDeque::new(),
-            is_finished: false,
-            is_empty: true,
-            may_be_empty: is_resumed && requests::has_marked_end(&parts.headers),
-        };
-        (parts, stream)
-    }
-
-    /// Returns the next event, or `None` if the target has ended the stream
-    /// properly.
-    async fn next(&mut self) -> Result<Option<SseEvent>, AttemptError> {
-        loop {
-            match self.events.pop_front() {
-                Some(event) if has_response_head(&event.bytes) => {
-                    return Err(lost("another answer follows in the stream"));
-                }
-                Some(event) => return Ok(Some(event)),
-                None => {}
-            }
-            if self.is_finished {
-                return Ok(None);
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    let Ok(bytes) = frame.into_data() else {
-                        continue;
-                    };
-                    let events = self.splitter.push(&bytes);
-                    let events = events.map_err(|e| AttemptError::Lost(e.to_owned()))?;
-                    self.is_empty &= events.is_empty();
-                    self.events.extend(events);
-                    if !self.memory.try_resize(self.splitter.capacity()) {
-                        return Err(exchange::Error::TooLarge.into());
-                    }
-                }
-                Some(Err(e)) => return Err(AttemptError::Disconnected(e.to_string())),
-                None => {
-                    self.is_finished = true;
-                    return self.finish();
-                }
-            }
-        }
-    }
-
-    /// Returns the line ends that follow the last event, if there are any.
-    fn finish(&self) -> Result<Option<SseEvent>, AttemptError> {
-        let remainder = self.splitter.remainder();
-        if remainder.iter().any(|byte| !b"\r\n".contains(byte)) {
-            return Err(cut("the stream ended inside an event"));
-        }
-        if remainder.is_empty() || self.is_empty {
-            return Ok(None);
-        }
-        Ok(Some(SseEvent {
-            id: None,
-            bytes: Bytes::copy_from_slice(remainder),
-        }))
-    }
-
-    fn is_open(&self) -> bool {
-        self.driver.is_some()
-    }
-
-    /// Closes the connection, which cancels the request at the target, and ends the
-    /// attempt.
-    fn end(&mut self, outcome: AttemptOutcome) {
-        self.driver = None;
-        if let Some(lease) = self.lease.take() {
-            lease.end(outcome);
-        }
-    }
-}
-
 /// Waits for the first event and starts the task that relays the stream. If no
 /// event arrives, returns the request and the error, for another attempt.
 pub(crate) async fn start(
@@ -260,10 +73,7 @@
         .record_latency("first_event", gateway.now().saturating_sub(request.arrived));
     let (sender, frames) = mpsc::channel(EVENT_QUEUE);
     let counted = RequestCounter::new(&gateway);
-    let body = ChannelBody {
-        frames,
-        error: None,
-    };
+    let body = ChannelBody::new(frames);
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = parts.status;
     *response.headers_mut() = requests::end_to_end_headers(&parts.headers);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,7 +1,7 @@
 //! Listening sockets, connections of callers and the graceful stop.
 
 use crate::fleet::Mesh;
-use crate::relay::{ResponseBody, full_body};
+use crate::responses::{ResponseBody, full_body, own_response};
 use crate::state::Phase;
 use crate::timeouts::{ConnectionState, GuardedBody, TimedStream};
 use crate::{Error, Listen, Result, Settings, SharedGateway, control, forward, watch};
@@ -204,9 +204,7 @@
         Endpoint::Ready if path == READY_PATH => ready(gateway),
         Endpoint::Directory if path == RESOLVE_PATH => resolve(gateway, from.ip()),
         Endpoint::Control => control::respond(gateway, &request),
-        Endpoint::Ready | Endpoint::Directory => {
-            forward::own_response(gateway, 404, "not found", None)
-        }
+        Endpoint::Ready | Endpoint::Directory => own_response(gateway, 404, "not found", None),
     };
     if gateway.phase() != Phase::Serving {
         let close = header::HeaderValue::from_static("close");
@@ -230,7 +228,7 @@
     let fleet = gateway.fleet.borrow();
     let addresses = fleet.lookup(now, &from, ADDRESSES_MAX);
     if addresses.is_empty() {
-        return forward::own_response(gateway, 503, "no instance is known", Some(1.0));
+        return own_response(gateway, 503, "no instance is known", Some(1.0));
     }
     let resolved = ResolveResponse {
         addresses,
