--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! Everything runs on one thread. The decisions are made in [`decision`]; the
 //! formats of the platform's interfaces are in [`platform`].
 
+mod admitted;
 mod attempt;
 mod clock;
 mod control;
@@ -17,11 +18,14 @@
 mod fleet;
 mod forward;
 mod metrics;
+mod overlap;
 mod relay;
+mod responses;
 mod server;
 mod settings;
 mod sse;
 mod state;
+mod target_stream;
 mod timeouts;
 mod watch;
 
