Reject impossible entries in the list of instances

An entry of the list of instances was used if it could be decoded. An instance that is read from the list counts as live for 2.5 s, and again each time it has been forgotten, so that lookups named addresses with port 0 or of no single host, and callers lost an attempt there. An entry under another key than its id made up an instance, and one with 4,294,967,295 thousandths of a core is the strongest of its failure domain.

An entry is valid only if its key is its id, both addresses are ones that a host can listen on, and the capacity is at most 1,000 cores. Others are skipped, logged with the reason and counted under the kind "instances".

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,7 @@
 };
 use exchange::MemoryBudget;
 use platform::StoreClient;
-use platform::documents::{self, OperatorRow};
+use platform::documents::{self, DocumentError, OperatorRow};
 use platform::rows::{self, Row};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -273,17 +273,22 @@
         }
     }
 
+    /// Counts and logs an entry that names no target or instance.
+    pub(crate) fn record_unreadable(&self, kind: &'static str, row: &Row, error: &DocumentError) {
+        self.metrics.count("unreadable_rows", kind);
+        self.event_log.state_change(&json!({
+            "event": "unreadable entry", "kind": kind, "key": row.key, "row": row.version,
+            "error": error.to_string(),
+        }));
+    }
+
     fn apply_target_row(&self, row: &Row) {
         let id: TargetId = row.key.clone();
         let entry = match documents::decode_target_row(row) {
             _ if row.removed => None,
             Ok(entry) => Some(entry),
             Err(e) => {
-                self.metrics.count("unreadable_rows", "targets");
-                self.event_log.state_change(&json!({
-                    "event": "unreadable entry", "target": id, "row": row.version,
-                    "error": e.to_string(),
-                }));
+                self.record_unreadable("targets", row, &e);
                 None
             }
         };
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Mesh;
 use crate::state::{Gap, Phase, TABLES};
 use decision::{ReadPolicy, TableRow, TableUpdate, Time};
+use platform::documents;
 use platform::rows::{self, INSTANCES_TABLE, Row, RowKey, RowsResponse, Transaction};
 use platform::{StoreError, unpartitioned_put};
 use rand::Rng;
@@ -309,8 +310,12 @@
 async fn read_list(gateway: &SharedGateway) {
     match gateway.store.read_range(INSTANCES_TABLE, "", "").await {
         Ok(rows) => {
-            let listed = rows.rows.iter();
-            let listed = listed.filter_map(|row| serde_json::from_slice(&row.value).ok());
+            let listed = rows.rows.iter().filter_map(|row| {
+                let listing = documents::decode_listing(row);
+                listing
+                    .inspect_err(|e| gateway.record_unreadable(INSTANCES_TABLE, row, e))
+                    .ok()
+            });
             let now = gateway.now();
             gateway.fleet.borrow_mut().add_listed(now, listed.collect());
         }
