Hold entries that a restored store brings back

Callers' requests reached targets that had left or that drained, after the store had come back from a copy some seconds old. The copy still has the entries of those seconds, and a target that was removed, or draining, was taken for a new and ready one.

`Router::store_restored` begins the time after a restore, and `Router::restore_target` applies what the complete list changes or lacks:

- A draining target stays so, whatever an older entry of its process says.
- The entry of a target that had left, or whose process was replaced, is not used until the target writes it, or until it has outlived the three intervals in which it would have lapsed.
The heartbeats of a live target change nothing in its entry, so that no update would tell.
- That needs a proof of the entries from after that time.
An instance that stood still has not seen the removal.
- A ready target that the list lacks is kept for the grace period, and one whose entry lapsed while the store was away is used as before.
- Cold time, load and leases of a process stay as they are.

Removed targets are remembered with their start for this, 2,000 at most, and for 60 s before the last proof of the entries. What is written after the restore holds at once and ends all of this.

With `update_target` in place of `restore_target`, as an instance treated the list until now, 11 of the 14 new tests fail: the removed target gets requests at once, the draining one is used (also with a start that is unknown), a warm target counts as cold for another 5 s, and the address of an earlier process replaces that of the later one.

--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod freshness;
 mod load_bounds;
 mod prefixes;
+mod restore;
 mod targets;
 
 pub use choose::{Pick, PoolView, TargetQuery};
@@ -194,13 +195,17 @@
 
     /// Applies a change of a target's entry; `None` is its removal.
     pub fn update_target(&mut self, now: Time, id: &TargetId, entry: Option<TargetEntry>) {
-        let cold_time = entry
-            .as_ref()
-            .and_then(|e| self.configuration.as_ref()?.services.get(&e.service))
-            .map_or(Duration::ZERO, |s| s.cold_time);
+        let cold_time = self.least_cold_time(entry.as_ref());
         self.targets.apply(now, id, entry, cold_time);
     }
 
+    /// Returns the cold time of the service of an entry.
+    fn least_cold_time(&self, entry: Option<&TargetEntry>) -> Duration {
+        entry
+            .and_then(|e| self.configuration.as_ref()?.services.get(&e.service))
+            .map_or(Duration::ZERO, |s| s.cold_time)
+    }
+
     /// Records that the copy of the targets' entries was the newest one at `at`,
     /// and the last time before that at `before`.
     ///
@@ -208,6 +213,7 @@
     /// the store was out of service, targets whose entries are removed are kept
     /// for a grace period.
     pub fn entries_verified(&mut self, now: Time, before: Option<Time>, at: Time) {
+        self.targets.former.set_verified(at);
         if before.is_some_and(|b| at.saturating_sub(b) > MIN_LAPSE_GAP) {
             self.targets.keep_lapsed_until(now + LAPSE_GRACE);
         }
@@ -215,8 +221,12 @@
 
     /// Removes targets whose entries lapsed during an outage of the store and have
     /// not returned within the grace period, and returns their names.
+    ///
+    /// It also ends what holds for a while after [`Router::store_restored`].
     pub fn remove_lapsed(&mut self, now: Time) -> Vec<TargetId> {
-        self.targets.remove_lapsed(now)
+        let removed = self.targets.remove_lapsed(now);
+        self.targets.confirm_held(now);
+        removed
     }
 
     /// Records whether the operators have evacuated a failure domain by a row in the
@@ -528,6 +538,8 @@
     pub crash_records: usize,
     /// Targets.
     pub targets: Vec<RouterTargetDump>,
+    /// Targets with restored entries that are not used yet.
+    pub held: Vec<TargetId>,
 }
 
 impl Router {
@@ -540,6 +552,7 @@
             instances: self.instances,
             crash_records: self.crashes.len(),
             targets: self.target_dumps(now),
+            held: self.targets.former.held(),
         }
     }
 }
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -1,5 +1,6 @@
 //! State of every target, as its entry in the store and its responses show it.
 
+use super::restore::FormerTargets;
 use crate::configuration::{TargetEntry, TargetStage};
 use crate::fleet::{Tag, TagMap, incarnation_tag, target_tag};
 use crate::id::{PrefixHash, ServiceId, TargetId, Time};
@@ -178,6 +179,12 @@
         self.failure_share
     }
 
+    /// Replaces the entry by another one of the same process.
+    pub(super) fn keep(&mut self, entry: TargetEntry) {
+        self.lapsed_at = None;
+        self.entry = entry;
+    }
+
     /// Records the outcome of an attempt, and ejects the target where the share of
     /// failures is too high.
     fn record_outcome(&mut self, now: Time, failed: bool) {
@@ -199,9 +206,10 @@
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Targets {
-    by_id: BTreeMap<TargetId, TargetState>,
+    pub(super) by_id: BTreeMap<TargetId, TargetState>,
     last_generation: u64,
     removed: BTreeMap<TargetId, RemovedTarget>,
+    pub(super) former: FormerTargets,
     /// Time until which targets are kept whose entries lapse.
     grace_until: Time,
 }
@@ -219,8 +227,10 @@
         cold_time: Duration,
     ) {
         let Some(entry) = entry else {
+            self.former.drop_held(id);
             return self.remove(now, id);
         };
+        self.former.forget(id);
         let known = self.by_id.get_mut(id);
         match known {
             Some(state) if state.entry.started_ms == entry.started_ms => {
@@ -228,8 +238,7 @@
                 if entry.cold_left > Duration::ZERO {
                     state.cold_until = state.cold_until.max(cold_until);
                 }
-                state.lapsed_at = None;
-                state.entry = entry;
+                state.keep(entry);
             }
             _ => {
                 self.last_generation += 1;
@@ -264,22 +273,25 @@
 
     /// Removes a target; within the grace period only if it is draining, because
     /// the entry of a ready one may have lapsed for want of the store.
-    fn remove(&mut self, now: Time, id: &TargetId) {
+    pub(super) fn remove(&mut self, now: Time, id: &TargetId) {
         match self.by_id.get_mut(id) {
             Some(state) if now < self.grace_until && state.entry.stage == TargetStage::Ready => {
                 state.lapsed_at = state.lapsed_at.or(Some(now));
             }
-            Some(_) => self.drop_target(now, id),
+            Some(_) => self.drop_target(now, id, true),
             None => {}
         }
     }
 
     /// Drops the state of a target except for its notices, which hold if the
     /// entry of the same process returns.
-    fn drop_target(&mut self, now: Time, id: &TargetId) {
+    ///
+    /// `has_left` tells whether its entry was removed while the store was in service.
+    fn drop_target(&mut self, now: Time, id: &TargetId, has_left: bool) {
         let Some(state) = self.by_id.remove(id) else {
             return;
         };
+        self.former.record_removal(now, id, &state, has_left);
         self.keep_notices(now, id, state.entry.started_ms, state.availability);
     }
 
@@ -323,7 +335,7 @@
         let lapsed = self.by_id.iter().filter(|(_, s)| s.lapsed_at.is_some());
         let removed: Vec<TargetId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in &removed {
-            self.drop_target(now, id);
+            self.drop_target(now, id, false);
         }
         removed
     }
@@ -378,7 +390,7 @@
         match outcome {
             AttemptOutcome::Completed => state.record_outcome(now, false),
             AttemptOutcome::Failed | AttemptOutcome::Broken => state.record_outcome(now, true),
-            AttemptOutcome::Moved => self.drop_target(now, &lease.target),
+            AttemptOutcome::Moved => self.drop_target(now, &lease.target, true),
             AttemptOutcome::Full | AttemptOutcome::Abandoned => {}
         }
     }
