Let no older copy prove the configuration

Keys that the newest configuration had revoked would have been accepted while a restored store lacked it: a read of the store proved the configuration in force to be the newest one, whichever one the store had, and an instance that started then took the older one for it.

`configuration_verified` now proves the configuration in force only if the copy of the store has the same one (`set_stored_configuration`), and no other instance was heard to have a newer one in force (`note_configuration`). A version that is noted counts for 10 s after it was last heard of; instances repeat theirs every 0.2 s. So a version that does not exist keeps out keys only while an instance claims it, and public routes are served meanwhile. In the first 5 s after the first proof, and after a restore, such a version also suspends earlier proofs, which may rest on the older copy, until the newer configuration is in force.

Without the two calls all is as before.

--- a/crates/decision/src/router/freshness.rs
+++ b/crates/decision/src/router/freshness.rs
@@ -13,6 +13,8 @@
 pub struct Freshness {
     max_age: Duration,
     verified_at: Option<Time>,
+    /// Time until which no proof counts.
+    suspended_until: Time,
 }
 
 impl Freshness {
@@ -21,6 +23,7 @@
         Freshness {
             max_age,
             verified_at: None,
+            suspended_until: Time::ZERO,
         }
     }
 
@@ -30,6 +33,16 @@
         self.verified_at = self.verified_at.max(Some(at));
     }
 
+    /// Lets no proof count until a time.
+    pub(super) fn suspend(&mut self, until: Time) {
+        self.suspended_until = until;
+    }
+
+    /// Lets the latest proof count again.
+    pub(super) fn resume(&mut self) {
+        self.suspended_until = Time::ZERO;
+    }
+
     /// Returns the time of the latest proof.
     pub fn verified_at(&self) -> Option<Time> {
         self.verified_at
@@ -42,6 +55,7 @@
 
     /// Returns whether the configuration is new enough to accept keys.
     pub fn is_fresh(&self, now: Time) -> bool {
-        self.age(now).is_some_and(|age| age < self.max_age)
+        let is_suspended = now < self.suspended_until;
+        !is_suspended && self.age(now).is_some_and(|age| age < self.max_age)
     }
 }
--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod prefixes;
 mod restore;
 mod targets;
+mod versions;
 
 pub use choose::{Pick, PoolView, TargetQuery};
 pub use crashes::{CrashReport, QuarantineChange};
@@ -28,6 +29,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use targets::Targets;
+use versions::Versions;
 
 /// Shortest outage of the store in which an entry can lapse: it lapses after
 /// three intervals of 1.2 s without a report of its target, and one of them may
@@ -133,6 +135,7 @@
     bounds: RouterBounds,
     configuration: Option<Arc<Configuration>>,
     freshness: Freshness,
+    versions: Versions,
     evacuated: Evacuations,
     targets: Targets,
     budgets: BTreeMap<ServiceId, RetryBudget>,
@@ -153,6 +156,7 @@
             freshness: Freshness::new(bounds.key_age),
             bounds,
             configuration: None,
+            versions: Versions::default(),
             evacuated: Evacuations::default(),
             targets: Targets::default(),
             budgets: BTreeMap::new(),
@@ -172,6 +176,7 @@
             return false;
         }
         self.configuration = Some(Arc::new(configuration));
+        self.resume_proofs();
         true
     }
 
@@ -190,10 +195,16 @@
         &self.freshness
     }
 
-    /// Records that the configuration in force was the newest one at `at`.
+    /// Records that the copy of the operators' table was the newest one at `at`.
+    ///
+    /// That proves the configuration in force to be the newest, unless another
+    /// instance has a newer one in force or the copy has another one: a copy that is
+    /// known to be older proves nothing.
     pub fn configuration_verified(&mut self, at: Time) {
         self.evacuated.set_verified(at);
-        self.freshness.set_verified(at);
+        if self.versions.prove(self.version(), at) {
+            self.freshness.set_verified(at);
+        }
     }
 
     /// Applies a change of a target's entry; `None` is its removal.
--- a/crates/decision/src/router/restore.rs
+++ b/crates/decision/src/router/restore.rs
@@ -244,6 +244,7 @@
         self.targets.keep_lapsed_until(now + LAPSE_GRACE);
         self.targets.begin_restore(now);
         self.evacuated.extend(now);
+        self.versions.doubt(now);
     }
 
     /// Applies a change of a target's entry that the complete list of a restored store
--- a/crates/decision/tests/restored.rs
+++ b/crates/decision/tests/restored.rs
@@ -1,8 +1,9 @@
 //! What an instance does with the rows of a store that came back from an older copy.
 
 use decision::{
-    AttemptOutcome, Configuration, KeyOwner, Lease, RetryPolicy, Route, Router, RouterBounds,
-    ServiceSpec, TargetEntry, TargetId, TargetNotice, TargetQuery, TargetStage, Time, target_tag,
+    AttemptOutcome, Configuration, KeyOwner, Lease, Refusal, RetryPolicy, Route, Router,
+    RouterBounds, ServiceSpec, TargetEntry, TargetId, TargetNotice, TargetQuery, TargetStage, Time,
+    target_tag,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -528,3 +529,97 @@
     router.set_evacuated(&"zero".into(), false);
     assert!(uses(&mut router, later, 0));
 }
+
+fn keyed(router: &Router, now: Time) -> Result<(), Refusal> {
+    let admitted = router.admit(now, "host", "/keyed/x", Some("key"), 0);
+    admitted.map(|_| ())
+}
+
+fn open(router: &Router, now: Time) -> Result<(), Refusal> {
+    router.admit(now, "host", "/open/x", None, 0).map(|_| ())
+}
+
+// Guards against keys that were revoked by a newer configuration and count again because
+// a restored store was read (CONFIG).
+#[test]
+fn a_copy_that_is_older_than_the_configuration_in_force_proves_nothing() {
+    for stored in [Some(43), None] {
+        let mut router = router(1);
+        router.set_stored_configuration(Some(50));
+        router.configuration_verified(SECOND * 10);
+        router.store_restored(SECOND * 11);
+        router.set_stored_configuration(stored);
+        router.configuration_verified(SECOND * 13);
+        assert_eq!(keyed(&router, SECOND * 13), Ok(()), "the former proof");
+        assert_eq!(keyed(&router, SECOND * 14), Err(Refusal::Stale));
+        assert_eq!(open(&router, SECOND * 14), Ok(()));
+        router.set_stored_configuration(Some(50));
+        router.configuration_verified(SECOND * 15);
+        assert_eq!(keyed(&router, SECOND * 15), Ok(()));
+    }
+}
+
+// Guards against an instance that takes the configuration of a restored store for the
+// newest though other instances have a newer one in force (CONFIG).
+#[test]
+fn a_configuration_is_not_proved_while_others_have_a_newer_one() {
+    let mut router = router(1);
+    for second in 6..60 {
+        let now = SECOND * second;
+        router.note_configuration(now, 51);
+        router.note_configuration(now, 50);
+        router.configuration_verified(now);
+        assert_eq!(keyed(&router, now), Err(Refusal::Stale));
+        assert_eq!(open(&router, now), Ok(()));
+    }
+    let now = SECOND * 60;
+    router.configure(configuration(51));
+    router.configuration_verified(now);
+    assert_eq!(keyed(&router, now), Ok(()));
+    router.note_configuration(now, 50);
+    router.configuration_verified(now + KEY_AGE);
+    assert_eq!(keyed(&router, now + KEY_AGE), Ok(()));
+}
+
+// Guards against a version that no instance has any more and keeps out keys for good,
+// and one that hides a lower version which others do have.
+#[test]
+fn a_version_counts_while_others_repeat_it() {
+    let mut router = router(1);
+    router.note_configuration(SECOND * 10, u64::MAX);
+    for second in 10..15 {
+        router.note_configuration(SECOND * second, 51);
+    }
+    let proved = |router: &mut Router, now: Time| {
+        router.configuration_verified(now);
+        keyed(router, now).is_ok()
+    };
+    assert!(!proved(&mut router, SECOND * 15));
+    assert!(!proved(&mut router, SECOND * 23));
+    assert!(proved(&mut router, SECOND * 24));
+    for version in 100..1_000 {
+        router.note_configuration(SECOND * 24, version);
+    }
+    assert!(!proved(&mut router, SECOND * 30));
+    assert!(proved(&mut router, SECOND * 34));
+}
+
+// Guards against an instance that starts with the configuration of a restored store, and
+// takes keys that were revoked until its proof is too old (CONFIG).
+#[test]
+fn a_first_proof_does_not_count_once_a_newer_version_is_known() {
+    let mut router = Router::new(bounds());
+    router.configure(configuration(43));
+    router.configuration_verified(SECOND);
+    assert_eq!(keyed(&router, SECOND), Ok(()));
+    router.note_configuration(SECOND + PULSE, 50);
+    assert_eq!(keyed(&router, SECOND + PULSE), Err(Refusal::Stale));
+    assert_eq!(open(&router, SECOND + PULSE), Ok(()));
+    router.configure(configuration(50));
+    assert_eq!(keyed(&router, SECOND * 2), Ok(()));
+
+    // Later, a newer version is on its way.
+    router.configuration_verified(SECOND * 30);
+    router.note_configuration(SECOND * 30, 51);
+    assert_eq!(keyed(&router, SECOND * 30), Ok(()));
+}
