Keep lapsed targets for less than they drain

Requests could reach a target later than 2 s after the instance had seen its entry removed. The grace period after an outage of the store, in which lapsed entries may return, is 2.2 s long, was checked at pulses alone, and began anew with each read after the outage that did not prove the copy to be the newest. A target that leaves without notice looks like one whose entry lapsed, and serves for 2 s after that.

A target is now kept for 1.8 s after its entry was removed at most, and until the end of the grace period as it was then. The choice of a target looks at that time too, so that an instance that stood still uses no target that should be gone.

The new test removes two ready targets in the grace period, while reads of the entries go on without a proof. Before, both were used in all of the 4 s that it looks at; now the first one is used for 1.8 s, and the other for 1.2 s, to the end of the period. It then lets the instance stand still for 30 s, after which it uses none that has lapsed.

--- a/crates/decision/src/router/choose.rs
+++ b/crates/decision/src/router/choose.rs
@@ -159,6 +159,7 @@
 fn usable<'a>(router: &'a Router, now: Time, query: &'a TargetQuery<'_>) -> Vec<Candidate<'a>> {
     let is_open = |(id, state): &Candidate<'_>| {
         state.entry.stage == TargetStage::Ready
+            && state.is_kept(now)
             && !state.availability.is_leaving
             && !state.availability.is_paused(now)
             && !router.evacuated.contains(&state.entry.domain)
@@ -178,24 +179,26 @@
 /// Returns the targets of a service that would take requests but for a pause.
 fn staying<'a>(
     router: &'a Router,
+    now: Time,
     service: &'a ServiceId,
 ) -> impl Iterator<Item = &'a TargetState> {
     let all = router.targets.of_service(service).map(|(_, state)| state);
-    all.filter(|state| {
+    all.filter(move |state| {
         state.entry.stage == TargetStage::Ready
+            && state.is_kept(now)
             && !state.availability.is_leaving
             && !router.evacuated.contains(&state.entry.domain)
     })
 }
 
 fn has_paused(router: &Router, now: Time, service: &ServiceId) -> bool {
-    staying(router, service).any(|state| state.availability.is_paused(now))
+    staying(router, now, service).any(|state| state.availability.is_paused(now))
 }
 
 /// Returns the time until the first of a service's targets takes requests again,
 /// if all of them pause.
 pub(super) fn pause_left(router: &Router, now: Time, service: &ServiceId) -> Option<Duration> {
-    let pauses = staying(router, service).map(|state| state.availability.pause_left(now));
+    let pauses = staying(router, now, service).map(|state| state.availability.pause_left(now));
     pauses.min().filter(|left| !left.is_zero())
 }
 
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -18,6 +18,9 @@
 const MAX_EJECT_TIME: Duration = Duration::from_secs(8);
 /// Time between two pauses of a target below which they count as one.
 const MIN_PAUSE_GAP: Duration = Duration::from_secs(1);
+/// Longest time for which a target is kept whose entry was removed: one that leaves
+/// without notice serves for 2 s after that, and requests are under way to it.
+const MAX_KEPT_TIME: Duration = Duration::from_millis(1_800);
 /// Targets without an entry whose notices are kept; the oldest is dropped first.
 const MAX_REMOVED: usize = 2_000;
 
@@ -158,8 +161,8 @@
     failure_share: f64,
     /// Ejections since the last success.
     ejections: u32,
-    /// Time at which the entry lapsed, where the target is kept nonetheless.
-    lapsed_at: Option<Time>,
+    /// Time until which the target is kept though its entry lapsed.
+    kept_until: Option<Time>,
 }
 
 impl TargetState {
@@ -175,13 +178,18 @@
         now < self.ejected_until
     }
 
+    /// Returns whether its entry is there, or lapsed so recently that it may return.
+    pub(crate) fn is_kept(&self, now: Time) -> bool {
+        self.kept_until.is_none_or(|until| now < until)
+    }
+
     pub(crate) fn failure_share(&self) -> f64 {
         self.failure_share
     }
 
     /// Replaces the entry by another one of the same process.
     pub(super) fn keep(&mut self, entry: TargetEntry) {
-        self.lapsed_at = None;
+        self.kept_until = None;
         self.entry = entry;
     }
 
@@ -263,7 +271,7 @@
                     known_since: now,
                     failure_share: 0.0,
                     ejections: 0,
-                    lapsed_at: None,
+                    kept_until: None,
                     entry,
                 };
                 self.by_id.insert(id.clone(), state);
@@ -276,7 +284,8 @@
     pub(super) fn remove(&mut self, now: Time, id: &TargetId) {
         match self.by_id.get_mut(id) {
             Some(state) if now < self.grace_until && state.entry.stage == TargetStage::Ready => {
-                state.lapsed_at = state.lapsed_at.or(Some(now));
+                let until = self.grace_until.min(now + MAX_KEPT_TIME);
+                state.kept_until.get_or_insert(until);
             }
             Some(_) => self.drop_target(now, id, true),
             None => {}
@@ -327,12 +336,9 @@
         self.grace_until = self.grace_until.max(until);
     }
 
-    /// Removes the targets whose entries lapsed, once the grace period has ended.
+    /// Removes the targets whose entries lapsed and that are kept no longer.
     pub(crate) fn remove_lapsed(&mut self, now: Time) -> Vec<TargetId> {
-        if now < self.grace_until {
-            return Vec::new();
-        }
-        let lapsed = self.by_id.iter().filter(|(_, s)| s.lapsed_at.is_some());
+        let lapsed = self.by_id.iter().filter(|(_, s)| !s.is_kept(now));
         let removed: Vec<TargetId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in &removed {
             self.drop_target(now, id, false);
@@ -375,7 +381,7 @@
         let state = self.by_id.get(&lease.target);
         let state = state.filter(|s| s.generation == lease.generation);
         state.is_none_or(|s| {
-            let is_ready = s.entry.stage == TargetStage::Ready && s.lapsed_at.is_none();
+            let is_ready = s.entry.stage == TargetStage::Ready && s.kept_until.is_none();
             !is_ready || s.availability.is_leaving
         })
     }
--- a/crates/decision/tests/restored.rs
+++ b/crates/decision/tests/restored.rs
@@ -400,6 +400,35 @@
     assert!(!uses(&mut router, fourth, 0));
 }
 
+// Guards against requests to a target for longer than it serves after its entry was
+// removed, because reads that prove nothing begin the grace period anew, or because the
+// instance stood still (DRAIN).
+#[test]
+fn a_lapsed_target_is_kept_for_less_than_it_drains() {
+    let mut router = router(3);
+    let verified = SECOND;
+    router.store_restored(RESTORED);
+    router.entries_verified(RESTORED, Some(verified), RESTORED);
+    router.restore_target(RESTORED, &id(0), None);
+    router.update_target(RESTORED + SECOND, &id(1), None);
+    let mut now = RESTORED;
+    while now < RESTORED + SECOND * 4 {
+        let used = used(&mut router, now);
+        for (number, kept_ms) in [(0, 1_800), (1, 2_200)] {
+            let is_kept = now < RESTORED + Duration::from_millis(kept_ms);
+            assert_eq!(used.contains(&id(number)), is_kept, "{number} at {now:?}");
+        }
+        now += PULSE;
+        router.entries_verified(now, Some(verified), now);
+        router.remove_lapsed(now);
+    }
+    assert_eq!(used(&mut router, now), [2].map(id).into());
+    router.update_target(now, &id(2), None);
+    assert!(uses(&mut router, now, 2));
+    // No pulse is sent until this request.
+    assert_eq!(used(&mut router, now + SECOND * 30), BTreeSet::new());
+}
+
 // Guards against targets that are left out after two outages in a row, the second of
 // which left them no time to write their lapsed entries again.
 #[test]
