--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -3,10 +3,13 @@
 
 mod choose;
 mod crashes;
+mod evacuations;
 mod freshness;
 mod load_bounds;
 mod prefixes;
+mod restore;
 mod targets;
+mod versions;
 
 pub use choose::{Pick, PoolView, TargetQuery};
 pub use crashes::{CrashReport, QuarantineChange};
@@ -18,6 +21,7 @@
 use crate::id::{DomainId, Fingerprint, ServiceId, TargetId, Time, Version, WorkspaceId};
 use crate::retry_budget::RetryBudget;
 use crashes::{Crashes, Share};
+use evacuations::Evacuations;
 use prefixes::Prefixes;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -25,6 +29,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use targets::Targets;
+use versions::Versions;
 
 /// Shortest outage of the store in which an entry can lapse: it lapses after
 /// three intervals of 1.2 s without a report of its target, and one of them may
@@ -130,7 +135,8 @@
     bounds: RouterBounds,
     configuration: Option<Arc<Configuration>>,
     freshness: Freshness,
-    evacuated: BTreeSet<DomainId>,
+    versions: Versions,
+    evacuated: Evacuations,
     targets: Targets,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     prefixes: Prefixes,
@@ -150,7 +156,8 @@
             freshness: Freshness::new(bounds.key_age),
             bounds,
             configuration: None,
-            evacuated: BTreeSet::new(),
+            versions: Versions::default(),
+            evacuated: Evacuations::default(),
             targets: Targets::default(),
             budgets: BTreeMap::new(),
             prefixes: Prefixes::default(),
@@ -169,6 +176,7 @@
             return false;
         }
         self.configuration = Some(Arc::new(configuration));
+        self.resume_proofs();
         true
     }
 
@@ -187,20 +195,31 @@
         &self.freshness
     }
 
-    /// Records that the configuration in force was the newest one at `at`.
+    /// Records that the copy of the operators' table was the newest one at `at`.
+    ///
+    /// That proves the configuration in force to be the newest, unless another
+    /// instance has a newer one in force or the copy has another one: a copy that is
+    /// known to be older proves nothing.
     pub fn configuration_verified(&mut self, at: Time) {
-        self.freshness.set_verified(at);
+        self.evacuated.set_verified(at);
+        if self.versions.prove(self.version(), at) {
+            self.freshness.set_verified(at);
+        }
     }
 
     /// Applies a change of a target's entry; `None` is its removal.
     pub fn update_target(&mut self, now: Time, id: &TargetId, entry: Option<TargetEntry>) {
-        let cold_time = entry
-            .as_ref()
-            .and_then(|e| self.configuration.as_ref()?.services.get(&e.service))
-            .map_or(Duration::ZERO, |s| s.cold_time);
+        let cold_time = self.least_cold_time(entry.as_ref());
         self.targets.apply(now, id, entry, cold_time);
     }
 
+    /// Returns the cold time of the service of an entry.
+    fn least_cold_time(&self, entry: Option<&TargetEntry>) -> Duration {
+        entry
+            .and_then(|e| self.configuration.as_ref()?.services.get(&e.service))
+            .map_or(Duration::ZERO, |s| s.cold_time)
+    }
+
     /// Records that the copy of the targets' entries was the newest one at `at`,
     /// and the last time before that at `before`.
     ///
@@ -208,6 +227,7 @@
     /// the store was out of service, targets whose entries are removed are kept
     /// for a grace period.
     pub fn entries_verified(&mut self, now: Time, before: Option<Time>, at: Time) {
+        self.targets.former.set_verified(at);
         if before.is_some_and(|b| at.saturating_sub(b) > MIN_LAPSE_GAP) {
             self.targets.keep_lapsed_until(now + LAPSE_GRACE);
         }
@@ -215,24 +235,25 @@
 
     /// Removes targets whose entries lapsed during an outage of the store and have
     /// not returned within the grace period, and returns their names.
+    ///
+    /// It also ends what holds for a while after [`Router::store_restored`].
     pub fn remove_lapsed(&mut self, now: Time) -> Vec<TargetId> {
-        self.targets.remove_lapsed(now)
+        let removed = self.targets.remove_lapsed(now);
+        self.targets.confirm_held(now);
+        self.evacuated.end_unlisted(now);
+        removed
     }
 
     /// Records whether the operators have evacuated a failure domain by a row in the
     /// store, and returns whether that is a change. For [`crate::Node`], a drain mark
     /// has the same meaning.
     pub fn set_evacuated(&mut self, domain: &DomainId, evacuated: bool) -> bool {
-        if evacuated {
-            self.evacuated.insert(domain.clone())
-        } else {
-            self.evacuated.remove(domain)
-        }
+        self.evacuated.set(domain, evacuated)
     }
 
     /// Returns the evacuated failure domains, whose targets get no requests.
     pub fn evacuated(&self) -> &BTreeSet<DomainId> {
-        &self.evacuated
+        self.evacuated.domains()
     }
 
     /// Sets how many instances share the limits, and the position of this one in
@@ -528,6 +549,8 @@
     pub crash_records: usize,
     /// Targets.
     pub targets: Vec<RouterTargetDump>,
+    /// Targets with restored entries that are not used yet.
+    pub held: Vec<TargetId>,
 }
 
 impl Router {
@@ -536,10 +559,11 @@
         RouterDump {
             version: self.version(),
             age_ms: self.freshness.age(now).map(|a| a.as_millis() as u64),
-            evacuated: self.evacuated.iter().cloned().collect(),
+            evacuated: self.evacuated.domains().iter().cloned().collect(),
             instances: self.instances,
             crash_records: self.crashes.len(),
             targets: self.target_dumps(now),
+            held: self.targets.former.held(),
         }
     }
 }
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -1,5 +1,6 @@
 //! State of every target, as its entry in the store and its responses show it.
 
+use super::restore::FormerTargets;
 use crate::configuration::{TargetEntry, TargetStage};
 use crate::fleet::{Tag, TagMap, incarnation_tag, target_tag};
 use crate::id::{PrefixHash, ServiceId, TargetId, Time};
@@ -17,6 +18,9 @@
 const MAX_EJECT_TIME: Duration = Duration::from_secs(8);
 /// Time between two pauses of a target below which they count as one.
 const MIN_PAUSE_GAP: Duration = Duration::from_secs(1);
+/// Longest time for which a target is kept whose entry was removed: one that leaves
+/// without notice serves for 2 s after that, and requests are under way to it.
+const MAX_KEPT_TIME: Duration = Duration::from_millis(1_800);
 /// Targets without an entry whose notices are kept; the oldest is dropped first.
 const MAX_REMOVED: usize = 2_000;
 
@@ -159,8 +163,8 @@
     failure_share: f64,
     /// Ejections since the last success.
     ejections: u32,
-    /// Time at which the entry lapsed, where the target is kept nonetheless.
-    lapsed_at: Option<Time>,
+    /// Time until which the target is kept though its entry lapsed.
+    kept_until: Option<Time>,
 }
 
 impl TargetState {
@@ -176,10 +180,21 @@
         now < self.ejected_until
     }
 
+    /// Returns whether its entry is there, or lapsed so recently that it may return.
+    pub(crate) fn is_kept(&self, now: Time) -> bool {
+        self.kept_until.is_none_or(|until| now < until)
+    }
+
     pub(crate) fn failure_share(&self) -> f64 {
         self.failure_share
     }
 
+    /// Replaces the entry by another one of the same process.
+    pub(super) fn keep(&mut self, entry: TargetEntry) {
+        self.kept_until = None;
+        self.entry = entry;
+    }
+
     /// Records the outcome of an attempt, and ejects the target where the share of
     /// failures is too high.
     fn record_outcome(&mut self, now: Time, failed: bool) {
@@ -201,9 +216,10 @@
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Targets {
-    by_id: BTreeMap<TargetId, TargetState>,
+    pub(super) by_id: BTreeMap<TargetId, TargetState>,
     last_generation: u64,
     removed: BTreeMap<TargetId, RemovedTarget>,
+    pub(super) former: FormerTargets,
     /// Time until which targets are kept whose entries lapse.
     grace_until: Time,
 }
@@ -221,8 +237,10 @@
         cold_time: Duration,
     ) {
         let Some(entry) = entry else {
+            self.former.drop_held(id);
             return self.remove(now, id);
         };
+        self.former.forget(id);
         let known = self.by_id.get_mut(id);
         match known {
             Some(state) if state.entry.started_ms == entry.started_ms => {
@@ -230,8 +248,7 @@
                 if entry.cold_left > Duration::ZERO {
                     state.cold_until = state.cold_until.max(cold_until);
                 }
-                state.lapsed_at = None;
-                state.entry = entry;
+                state.keep(entry);
             }
             _ => {
                 self.last_generation += 1;
@@ -256,7 +273,7 @@
                     known_since: now,
                     failure_share: 0.0,
                     ejections: 0,
-                    lapsed_at: None,
+                    kept_until: None,
                     entry,
                 };
                 self.by_id.insert(id.clone(), state);
@@ -266,22 +283,26 @@
 
     /// Removes a target; within the grace period only if it is draining, because
     /// the entry of a ready one may have lapsed for want of the store.
-    fn remove(&mut self, now: Time, id: &TargetId) {
+    pub(super) fn remove(&mut self, now: Time, id: &TargetId) {
         match self.by_id.get_mut(id) {
             Some(state) if now < self.grace_until && state.entry.stage == TargetStage::Ready => {
-                state.lapsed_at = state.lapsed_at.or(Some(now));
+                let until = self.grace_until.min(now + MAX_KEPT_TIME);
+                state.kept_until.get_or_insert(until);
             }
-            Some(_) => self.drop_target(now, id),
+            Some(_) => self.drop_target(now, id, true),
             None => {}
         }
     }
 
     /// Drops the state of a target except for its notices, which hold if the
     /// entry of the same process returns.
-    fn drop_target(&mut self, now: Time, id: &TargetId) {
+    ///
+    /// `has_left` tells whether its entry was removed while the store was in service.
+    fn drop_target(&mut self, now: Time, id: &TargetId, has_left: bool) {
         let Some(state) = self.by_id.remove(id) else {
             return;
         };
+        self.former.record_removal(now, id, &state, has_left);
         self.keep_notices(now, id, state.entry.started_ms, state.availability);
     }
 
@@ -317,15 +338,12 @@
         self.grace_until = self.grace_until.max(until);
     }
 
-    /// Removes the targets whose entries lapsed, once the grace period has ended.
+    /// Removes the targets whose entries lapsed and that are kept no longer.
     pub(crate) fn remove_lapsed(&mut self, now: Time) -> Vec<TargetId> {
-        if now < self.grace_until {
-            return Vec::new();
-        }
-        let lapsed = self.by_id.iter().filter(|(_, s)| s.lapsed_at.is_some());
+        let lapsed = self.by_id.iter().filter(|(_, s)| !s.is_kept(now));
         let removed: Vec<TargetId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in &removed {
-            self.drop_target(now, id);
+            self.drop_target(now, id, false);
         }
         removed
     }
@@ -365,7 +383,7 @@
         let state = self.by_id.get(&lease.target);
         let state = state.filter(|s| s.generation == lease.generation);
         state.is_none_or(|s| {
-            let is_ready = s.entry.stage == TargetStage::Ready && s.lapsed_at.is_none();
+            let is_ready = s.entry.stage == TargetStage::Ready && s.kept_until.is_none();
             !is_ready || s.availability.is_leaving
         })
     }
@@ -380,7 +398,7 @@
         match outcome {
             AttemptOutcome::Completed => state.record_outcome(now, false),
             AttemptOutcome::Failed | AttemptOutcome::Broken => state.record_outcome(now, true),
-            AttemptOutcome::Moved => self.drop_target(now, &lease.target),
+            AttemptOutcome::Moved => self.drop_target(now, &lease.target, true),
             AttemptOutcome::Full | AttemptOutcome::Abandoned => {}
         }
     }
