--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -74,6 +74,7 @@
                 version: 5,
                 changed: 5,
                 age_ms: 300,
+                era: 1,
             })];
             for step in [Fleet::tick, Fleet::pulse_domain] {
                 let mut out: Vec<(InstanceId, OutgoingPulse)> = Vec::new();
@@ -489,6 +490,7 @@
         version: 5,
         changed: 5,
         age_ms: 100,
+        era: 1,
     })];
     let second = Duration::from_secs(1);
     let (hub, other, hub_id, other_id) = if one.is_hub(Time::ZERO) {
@@ -519,6 +521,7 @@
         version: 5,
         changed: 5,
         age_ms: 100,
+        era: 1,
     };
     let now = Duration::from_secs(1);
     let proof = |fleet: &mut Fleet, echo_ms| {
@@ -604,3 +607,45 @@
     fleet.receive_pulse(later, &first, back.join_pulse(later));
     assert_eq!(fleet.hub(later, "d0").expect("a hub").id, first);
 }
+
+// Guards against running instances that are left out when a list that was lost is
+// completed, and against instances in it that have left.
+#[test]
+fn a_list_lacks_the_running_instances_that_are_not_in_it() {
+    let all: Vec<Listing> = (0..4).map(|n| listing(n, 2)).collect();
+    let mut fleet = Fleet::new(all[0].clone(), 1);
+    let leaving = Listing {
+        leaving: true,
+        ..all[3].clone()
+    };
+    fleet.add_listed(Time::ZERO, vec![all[1].clone(), all[2].clone(), leaving]);
+    let ids =
+        |missing: Vec<Listing>| -> Vec<InstanceId> { missing.into_iter().map(|l| l.id).collect() };
+    let missing = fleet.missing_from(PULSE, &all[1..2]);
+    assert_eq!(ids(missing), ["i000", "i002"]);
+    assert_eq!(ids(fleet.missing_from(PULSE, &all[..3])), [""; 0]);
+    let later = Duration::from_secs(10);
+    assert_eq!(ids(fleet.missing_from(later, &[])), ["i000"]);
+    fleet.set_leaving();
+    assert_eq!(ids(fleet.missing_from(later, &[])), [""; 0]);
+}
+
+// Guards against an instance that starts while the store is older than what its peers
+// know, and relies on the store alone.
+#[test]
+fn a_starting_instance_waits_for_news_but_not_for_long() {
+    let (start, late) = (Duration::from_millis(50), Duration::from_millis(400));
+    let me = listing(0, 1);
+    let alone = Fleet::new(me.clone(), 1);
+    assert!(!alone.waits_for_news(start), "there is no other instance");
+    let mut fleet = Fleet::new(me, 1).with_other_seeds(true);
+    assert!(fleet.waits_for_news(start));
+    assert!(!fleet.waits_for_news(late));
+    let other = Fleet::new(listing(1, 1), 1);
+    let mut pulse = other.join_pulse(start);
+    fleet.receive_pulse(start, &"i001".into(), pulse.clone());
+    assert!(fleet.waits_for_news(start), "it knows no configuration");
+    pulse.configuration = Some(7);
+    fleet.receive_pulse(start, &"i001".into(), pulse);
+    assert!(!fleet.waits_for_news(start));
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,8 +2,8 @@
 
 use crate::SharedGateway;
 use crate::fleet::Mesh;
-use crate::state::{Gap, Phase, TABLES};
-use decision::{ReadPolicy, TableRow, TableUpdate, Time};
+use crate::state::{Applied, Gap, Phase, TABLES};
+use decision::{Era, Listing, Position, ReadPolicy, TableRow, TableUpdate, Time};
 use platform::documents;
 use platform::rows::{self, INSTANCES_TABLE, Row, RowKey, RowsResponse, Transaction};
 use platform::{StoreError, unpartitioned_put};
@@ -41,6 +41,8 @@
 const LIST_READERS: usize = 2;
 /// Interval at which an instance that doesn't read a table checks whether it must.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a starting instance checks whether it has heard from others.
+const NEWS_INTERVAL: Duration = Duration::from_millis(20);
 /// Mean pause after a read by an instance that is not a hub; jitter spreads the
 /// calls of many instances.
 const READ_PAUSE: Duration = Duration::from_millis(600);
@@ -50,6 +52,11 @@
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
 /// Mean interval at which hubs read the list of instances.
 const LIST_INTERVAL: Duration = Duration::from_secs(12);
+/// Time that the second reader of the list leaves to the first one to complete it.
+const LIST_TURN: Duration = Duration::from_secs(1);
+/// Maximum number of rows in a transaction. The list needs no more entries than this
+/// for instances to find each other.
+const MAX_PUTS: usize = 100;
 /// Allowance for the error of the estimated offset between the clocks, which is
 /// the shortest time that a response of the store took to arrive.
 const CLOCK_SLACK: Duration = Duration::from_millis(20);
@@ -57,6 +64,9 @@
 /// as having been reset.
 const CLOCK_JUMP: Duration = Duration::from_secs(60);
 
+/// Source of news of the store's era in the log, besides the names of instances.
+const STORE: &str = "store";
+
 /// Starts the tasks that keep the copies of the tables up to date and register
 /// this instance.
 pub(crate) fn start(gateway: &SharedGateway, mesh: &Mesh) {
@@ -87,6 +97,24 @@
     /// Estimate, from below, of the store's clock minus this instance's, in
     /// milliseconds.
     clock_offset: Option<f64>,
+    /// Consecutive reads of the whole table because the store lacked the changes.
+    whole_reads: u32,
+    /// Whether the last reads were older than the copy.
+    is_behind: bool,
+}
+
+/// What a read of a table led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadOutcome {
+    /// There were changes.
+    Changed,
+    /// There were none.
+    Unchanged,
+    /// The store did not have the changes since the copy, and the whole table was
+    /// read.
+    Whole,
+    /// The store is behind the copy.
+    Stale,
 }
 
 impl TableFollower {
@@ -100,6 +128,8 @@
             is_failing: false,
             reason: None,
             clock_offset: None,
+            whole_reads: 0,
+            is_behind: false,
         }
     }
 
@@ -112,7 +142,7 @@
                 continue;
             }
             match self.read().await {
-                Ok(had_changes) => self.after_success(had_changes).await,
+                Ok(outcome) => self.after_read(outcome).await,
                 Err(e) => self.after_error(&e).await,
             }
         }
@@ -125,7 +155,7 @@
             let copy = &self.gateway.copies.borrow()[self.table];
             // A copy that came from a seed is verified by the first pulse;
             // until then it counts as verified at the start of the process.
-            copy.verified_at().or(copy.version().map(|_| Time::ZERO))
+            copy.verified_at().or(copy.position().map(|_| Time::ZERO))
         };
         let fleet = self.gateway.fleet.borrow();
         fleet.reason_to_read(now, self.table, &READ_POLICIES[self.table], verified_at)
@@ -139,38 +169,50 @@
         }
     }
 
-    /// Reads the changes since the version of the copy, or the whole table if there
-    /// is no copy or the store no longer has those changes. Returns whether there
-    /// were any.
-    async fn read(&mut self) -> platform::Result<bool> {
-        let version = self.gateway.copies.borrow()[self.table].version();
-        let table = TABLES[self.table];
+    /// Reads the changes since the position of the copy, or the whole table if there
+    /// is no copy or the store doesn't have those changes.
+    async fn read(&mut self) -> platform::Result<ReadOutcome> {
+        let position = self.gateway.copies.borrow()[self.table].position();
         let start = self.gateway.now();
-        let read = match version {
-            Some(after) => {
-                self.gateway
-                    .store
-                    .poll_feed(table, after, self.poll_wait())
-                    .await
-            }
-            None => self.gateway.store.read_range(table, "", "").await,
+        let Some(position) = position else {
+            let rows = self.read_all().await?;
+            return Ok(self.apply(start, None, rows));
         };
+        let wait = self.poll_wait();
+        let table = TABLES[self.table];
+        let poll = self.gateway.store.poll_feed(table, position.version, wait);
+        let read = poll.await;
         self.gateway.metrics.count("store_calls", table);
-        let (since, rows) = match read {
-            Ok(rows) => (version, rows),
-            Err(StoreError::HistoryGone { .. }) => {
-                self.gateway.event_log.state_change(&json!({
-                    "event": "history of the store is gone", "table": table, "after": version,
-                }));
-                let rows = self.gateway.store.read_range(table, "", "").await?;
-                self.gateway.metrics.count("store_calls", table);
-                (None, rows)
+        let era = match read {
+            Ok(rows) if rows.era <= position.era => {
+                return Ok(self.apply(start, Some(position.version), rows));
             }
+            // The changes of a later era don't follow on the copy's version.
+            Ok(rows) => rows.era,
+            Err(StoreError::HistoryGone { era, .. }) => era,
             Err(e) => return Err(e),
         };
-        let had_changes = !rows.rows.is_empty();
-        self.apply(start, since, rows);
-        Ok(had_changes)
+        self.gateway.note_era(era, STORE);
+        self.gateway.metrics.count("histories_gone", table);
+        if self.whole_reads == 0 {
+            self.gateway.event_log.state_change(&json!({
+                "event": "history of the store is gone", "table": table, "era": era,
+                "copy": position,
+            }));
+        }
+        let start = self.gateway.now();
+        let rows = self.read_all().await?;
+        Ok(match self.apply(start, None, rows) {
+            ReadOutcome::Stale => ReadOutcome::Stale,
+            _ => ReadOutcome::Whole,
+        })
+    }
+
+    async fn read_all(&self) -> platform::Result<RowsResponse> {
+        let table = TABLES[self.table];
+        let rows = self.gateway.store.read_range(table, "", "").await?;
+        self.gateway.metrics.count("store_calls", table);
+        Ok(rows)
     }
 
     /// Returns how long a poll of the feed waits for changes. Only hubs wait; other
@@ -184,23 +226,72 @@
         }
     }
 
-    fn apply(&mut self, start: Time, since: Option<u64>, rows: RowsResponse) {
+    fn apply(&mut self, start: Time, since: Option<u64>, rows: RowsResponse) -> ReadOutcome {
         let snapshot_time = self.snapshot_time(start, rows.now_ms);
-        let version = rows.version;
+        let had_changes = !rows.rows.is_empty();
         let update = TableUpdate {
             since,
-            version,
+            era: rows.era,
+            version: rows.version,
             rows: rows.rows.into_iter().map(table_row).collect(),
         };
-        match self.gateway.apply_update(self.table, update) {
-            Ok(Some(update)) => self.mesh.publish_update(&self.gateway, self.table, &update),
-            Ok(None) => {}
+        let position = update.position();
+        self.gateway.note_era(position.era, STORE);
+        let applied = self.gateway.apply_update(self.table, update);
+        match &applied {
+            Ok(Applied::Changed(update)) => {
+                self.mesh.publish_update(&self.gateway, self.table, update);
+            }
+            Ok(Applied::Unchanged | Applied::Replaced | Applied::Stale) => {}
             // The feed was polled from the version of the copy.
             Err(Gap) => log::error!("the store's feed starts after the requested version"),
         }
-        let changed = self.gateway.copies.borrow()[self.table].last_change();
-        self.gateway
-            .verify_table(self.table, version, changed.min(version), snapshot_time);
+        let changed = {
+            let copies = self.gateway.copies.borrow();
+            let changed = copies[self.table].last_change().unwrap_or_default();
+            changed.version.min(position.version)
+        };
+        self.verify(position, changed, snapshot_time);
+        let copy = self.gateway.copies.borrow()[self.table].position();
+        let is_older_era = copy.is_some_and(|copy| position.era < copy.era);
+        match applied {
+            Ok(Applied::Replaced) => {
+                self.mesh.announce_copies(&self.gateway);
+                ReadOutcome::Changed
+            }
+            // Other instances may have sent the changes during the poll.
+            Ok(Applied::Stale) if since.is_none() || is_older_era => {
+                self.log_stale(position, copy);
+                ReadOutcome::Stale
+            }
+            _ if had_changes => ReadOutcome::Changed,
+            _ => ReadOutcome::Unchanged,
+        }
+    }
+
+    /// Records a proof by the store, at the start only once others had a chance to
+    /// report a later era or a newer configuration.
+    fn verify(&self, position: Position, changed: u64, at: Time) {
+        let (gateway, table) = (self.gateway.clone(), self.table);
+        if !gateway.fleet.borrow().waits_for_news(gateway.now()) {
+            gateway.verify_table(table, position, changed, at);
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            while gateway.fleet.borrow().waits_for_news(gateway.now()) {
+                tokio::time::sleep(NEWS_INTERVAL).await;
+            }
+            gateway.verify_table(table, position, changed, at);
+        });
+    }
+
+    fn log_stale(&mut self, read: Position, copy: Option<Position>) {
+        if !std::mem::replace(&mut self.is_behind, true) {
+            self.gateway.event_log.state_change(&json!({
+                "event": "store is behind the copy", "table": TABLES[self.table],
+                "read": read, "copy": copy,
+            }));
+        }
     }
 
     /// Returns the time, on this instance's clock, whose state of the store a
@@ -225,14 +316,30 @@
         snapshot.map_or(start, |at| at.min(now).saturating_sub(CLOCK_SLACK))
     }
 
-    async fn after_success(&mut self, had_changes: bool) {
-        self.pause = MIN_RETRY_PAUSE;
+    async fn after_read(&mut self, outcome: ReadOutcome) {
         if std::mem::take(&mut self.is_failing) {
             self.gateway.event_log.state_change(&json!({
                 "event": "store regained", "table": TABLES[self.table],
             }));
         }
+        let max_pause = match outcome {
+            ReadOutcome::Stale => MAX_RETRY_PAUSE,
+            ReadOutcome::Whole if self.whole_reads > 0 => READ_PAUSE,
+            _ => Duration::ZERO,
+        };
+        self.whole_reads = match outcome {
+            ReadOutcome::Whole | ReadOutcome::Stale => self.whole_reads + 1,
+            ReadOutcome::Changed | ReadOutcome::Unchanged => 0,
+        };
+        if max_pause > Duration::ZERO {
+            return self.back_off(max_pause).await;
+        }
+        if self.whole_reads == 0 {
+            self.pause = MIN_RETRY_PAUSE;
+            self.is_behind = false;
+        }
         let is_hub = self.gateway.fleet.borrow().is_hub(self.gateway.now());
+        let had_changes = outcome != ReadOutcome::Unchanged;
         let (pause, poll_wait) = READ_POLICIES[self.table].next_poll(had_changes);
         self.poll_wait = poll_wait;
         let pause = if is_hub {
@@ -243,6 +350,13 @@
         tokio::time::sleep(pause).await;
     }
 
+    /// Pauses for about twice as long as the last time, up to a limit.
+    async fn back_off(&mut self, max_pause: Duration) {
+        let pause = self.pause.min(max_pause);
+        tokio::time::sleep(pause.mul_f64(jitter())).await;
+        self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
+    }
+
     async fn after_error(&mut self, error: &StoreError) {
         self.gateway
             .metrics
@@ -252,8 +366,7 @@
                 "event": "store lost", "table": TABLES[self.table], "error": error.to_string(),
             }));
         }
-        tokio::time::sleep(self.pause.mul_f64(jitter())).await;
-        self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
+        self.back_off(MAX_RETRY_PAUSE).await;
     }
 }
 
@@ -288,13 +401,32 @@
     while gateway.fleet.borrow().waits_for_seeds(gateway.now()) {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
-    loop {
+    follow_list(gateway).await;
+}
+
+/// Reads the list of instances periodically while this instance has to, and at once
+/// in a later era of the store.
+async fn follow_list(gateway: &SharedGateway) {
+    let mut listed_era = gateway.store_era();
+    let mut pause = MIN_RETRY_PAUSE;
+    while gateway.phase() == Phase::Serving {
         if should_read_list(gateway) {
-            read_list(gateway).await;
+            let is_restored = gateway.store_era() > listed_era;
+            match read_list(gateway, is_restored).await {
+                Ok(era) => listed_era = listed_era.max(era),
+                Err(e) => log::debug!("failed to bring the list of instances up to date: {e}"),
+            }
         }
-        tokio::time::sleep(LIST_INTERVAL.mul_f64(jitter())).await;
-        if gateway.phase() != Phase::Serving {
-            return;
+        if should_read_list(gateway) && gateway.store_era() > listed_era {
+            tokio::time::sleep(pause.mul_f64(jitter())).await;
+            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+            continue;
+        }
+        pause = MIN_RETRY_PAUSE;
+        let next_read = gateway.now() + LIST_INTERVAL.mul_f64(jitter());
+        let is_due = || gateway.store_era() > listed_era && should_read_list(gateway);
+        while gateway.now() < next_read && !is_due() {
+            tokio::time::sleep(CHECK_INTERVAL).await;
         }
     }
 }
@@ -307,20 +439,53 @@
     fleet.live(now).len() < 2 || fleet.is_chosen_hub(now, INSTANCES_TABLE, LIST_READERS)
 }
 
-async fn read_list(gateway: &SharedGateway) {
-    match gateway.store.read_range(INSTANCES_TABLE, "", "").await {
-        Ok(rows) => {
-            let listed = rows.rows.iter().filter_map(|row| {
-                let listing = documents::decode_listing(row);
-                listing
-                    .inspect_err(|e| gateway.record_unreadable(INSTANCES_TABLE, row, e))
-                    .ok()
-            });
-            let now = gateway.now();
-            gateway.fleet.borrow_mut().add_listed(now, listed.collect());
-        }
-        Err(e) => log::debug!("failed to read the list of instances: {e}"),
+/// Reads the list of instances and returns its era. If the store `is_restored`, adds
+/// the instances that it lacks: their entries, which were written once, may be lost.
+async fn read_list(gateway: &SharedGateway, is_restored: bool) -> platform::Result<Era> {
+    let is_first = {
+        let fleet = gateway.fleet.borrow();
+        fleet.is_chosen_hub(gateway.now(), INSTANCES_TABLE, 1)
+    };
+    if is_restored && !is_first {
+        tokio::time::sleep(LIST_TURN).await;
     }
+    let rows = gateway.store.read_range(INSTANCES_TABLE, "", "").await?;
+    gateway.note_era(rows.era, STORE);
+    let listed = rows.rows.iter().filter_map(|row| {
+        let listing = documents::decode_listing(row);
+        listing
+            .inspect_err(|e| gateway.record_unreadable(INSTANCES_TABLE, row, e))
+            .ok()
+    });
+    let listed: Vec<Listing> = listed.collect();
+    let now = gateway.now();
+    let mut missing = {
+        let mut fleet = gateway.fleet.borrow_mut();
+        let missing = fleet.missing_from(now, &listed);
+        fleet.add_listed(now, listed);
+        missing
+    };
+    if !is_restored || rows.era < gateway.store_era() {
+        return Ok(rows.era);
+    }
+    missing.truncate(MAX_PUTS);
+    if missing.is_empty() {
+        return Ok(rows.era);
+    }
+    let put = |listing: &Listing| {
+        let value = serde_json::to_vec(listing).unwrap_or_default();
+        unpartitioned_put(INSTANCES_TABLE, &listing.id, value)
+    };
+    let entries = Transaction {
+        puts: missing.iter().map(put).collect(),
+        ..Transaction::default()
+    };
+    gateway.store.transact(&entries).await?;
+    gateway.event_log.state_change(&json!({
+        "event": "list of instances completed", "era": rows.era,
+        "instances": missing.iter().map(|l| &l.id).collect::<Vec<_>>(),
+    }));
+    Ok(rows.era)
 }
 
 /// Removes this instance from the list of instances.
