Remember the latest process of a removed target

A target that had left could get requests by its restored entry in a second restore: what was known of its end was forgotten when the entry of another process of it counted in between, when it was removed while its restored entry was held, or when an entry of unknown start had replaced it.

The removal of an entry that is held is now remembered like any other, with its start and time, and so is a process that one of an earlier or unknown start replaces. An entry that counts makes an instance forget only what is remembered of that process and of earlier ones.

A property test makes random sequences of writes, removals, restores and pauses of the instance. It checks that a process that drained or left gets no request unless it is written again or has outlived its lapse, and that what is listed as ready is used 4 s later.

--- a/crates/decision/src/router/restore.rs
+++ b/crates/decision/src/router/restore.rs
@@ -1,7 +1,7 @@
 //! What a restored store changes: it may have rows that are older than what this
 //! instance knows, and lack newer ones, until these are written again.
 
-use super::targets::{TargetState, Targets};
+use super::targets::Targets;
 use super::{LAPSE_GRACE, Router};
 use crate::configuration::{TargetEntry, TargetStage};
 use crate::id::{DomainId, TargetId, Time};
@@ -62,29 +62,42 @@
 }
 
 impl FormerTargets {
-    /// Ends what holds for a target that is written in the store.
-    pub(super) fn forget(&mut self, id: &TargetId) {
-        self.by_id.remove(id);
+    /// Ends what holds for a target of this start, or of an earlier one, as its entry
+    /// counts.
+    pub(super) fn forget(&mut self, id: &TargetId, started_ms: u64) {
         self.held.remove(id);
+        let former = self.by_id.get(id);
+        if former.is_some_and(|f| f.started_ms <= started_ms) {
+            self.by_id.remove(id);
+        }
     }
 
     /// Drops the restored entry of a target that is removed from the store.
-    pub(super) fn drop_held(&mut self, id: &TargetId) {
-        self.held.remove(id);
+    pub(super) fn remove_held(&mut self, now: Time, id: &TargetId) {
+        if let Some(held) = self.held.remove(id) {
+            let started_ms = held.entry.started_ms;
+            let known = self.by_id.get(id).filter(|f| f.started_ms == started_ms);
+            let cold_until = known.map_or(now + held.entry.cold_left, |f| f.cold_until);
+            self.record_removal(now, id, started_ms, cold_until, true);
+        }
     }
 
+    /// Remembers that a process has no entry any more. A later process of the target
+    /// that is remembered stays so instead, as of this removal.
     pub(super) fn record_removal(
         &mut self,
         now: Time,
         id: &TargetId,
-        state: &TargetState,
+        started_ms: u64,
+        cold_until: Time,
         has_left: bool,
     ) {
+        let later = self.by_id.get(id).filter(|f| f.started_ms > started_ms);
         let former = Former {
-            started_ms: state.entry.started_ms,
-            cold_until: state.cold_until,
+            started_ms: later.map_or(started_ms, |f| f.started_ms),
+            cold_until: later.map_or(cold_until, |f| f.cold_until),
             removed_at: now,
-            has_left,
+            has_left: has_left || later.is_some_and(|f| f.has_left),
         };
         self.by_id.insert(id.clone(), former);
         if self.by_id.len() > MAX_REMOVED {
@@ -99,6 +112,12 @@
         self.verified_at = self.verified_at.max(at);
     }
 
+    /// Returns whether a removed target has left: its entry was removed, or lapsed and
+    /// did not return while the store was in service.
+    fn is_gone(&self, former: &Former) -> bool {
+        former.has_left || former.removed_at <= self.verified_at
+    }
+
     /// Returns the names of the targets whose restored entries are not used yet.
     pub(super) fn held(&self) -> Vec<TargetId> {
         self.held.keys().cloned().collect()
@@ -139,7 +158,7 @@
         cold_time: Duration,
     ) {
         let Some(entry) = entry else {
-            self.former.drop_held(id);
+            self.former.remove_held(now, id);
             return self.remove(now, id);
         };
         match self.relation(id, &entry) {
@@ -165,24 +184,21 @@
             (0, _) | (_, 0) => None,
             (known, restored) => Some(restored.cmp(&known)),
         };
-        if let Some(state) = self.by_id.get(id) {
-            let known = state.entry.started_ms;
-            return match order(known) {
-                _ if known == entry.started_ms => Relation::Same,
-                Some(Ordering::Greater) => Relation::New,
-                _ => Relation::Doubtful,
-            };
+        let known = self.by_id.get(id).map(|s| s.entry.started_ms);
+        if known == Some(entry.started_ms) {
+            return Relation::Same;
         }
-        let Some(former) = self.former.by_id.get(id) else {
-            return Relation::New;
-        };
-        // An entry that did not return while the store was in service is of a target
-        // that has left.
-        let is_gone = former.has_left || former.removed_at <= self.former.verified_at;
-        match order(former.started_ms) {
-            Some(Ordering::Greater) => Relation::New,
-            Some(Ordering::Equal) | None if !is_gone => Relation::New,
-            _ => Relation::Doubtful,
+        let is_later = known.is_none_or(|k| order(k) == Some(Ordering::Greater));
+        let former = self.former.by_id.get(id);
+        let may_return = former.is_none_or(|f| match order(f.started_ms) {
+            Some(Ordering::Greater) => true,
+            Some(Ordering::Less) => false,
+            _ => !self.former.is_gone(f),
+        });
+        if is_later && may_return {
+            Relation::New
+        } else {
+            Relation::Doubtful
         }
     }
 
@@ -195,7 +211,7 @@
         mut entry: TargetEntry,
         cold_time: Duration,
     ) {
-        self.former.drop_held(id);
+        self.former.held.remove(id);
         let Some(state) = self.by_id.get_mut(id) else {
             return;
         };
--- a/crates/decision/src/router/targets.rs
+++ b/crates/decision/src/router/targets.rs
@@ -235,10 +235,19 @@
         cold_time: Duration,
     ) {
         let Some(entry) = entry else {
-            self.former.drop_held(id);
+            self.former.remove_held(now, id);
             return self.remove(now, id);
         };
-        self.former.forget(id);
+        self.former.forget(id, entry.started_ms);
+        // A later process is replaced only if the start of the new one is unknown, or
+        // the clock was set back.
+        if let Some(state) = self.by_id.get(id)
+            && state.entry.started_ms > entry.started_ms
+        {
+            let (started_ms, cold_until) = (state.entry.started_ms, state.cold_until);
+            self.former
+                .record_removal(now, id, started_ms, cold_until, true);
+        }
         let known = self.by_id.get_mut(id);
         match known {
             Some(state) if state.entry.started_ms == entry.started_ms => {
@@ -300,7 +309,9 @@
         let Some(state) = self.by_id.remove(id) else {
             return;
         };
-        self.former.record_removal(now, id, &state, has_left);
+        let (started_ms, cold_until) = (state.entry.started_ms, state.cold_until);
+        self.former
+            .record_removal(now, id, started_ms, cold_until, has_left);
         self.keep_notices(now, id, state.entry.started_ms, state.availability);
     }
 
--- a/crates/decision/tests/restored.rs
+++ b/crates/decision/tests/restored.rs
@@ -1,10 +1,13 @@
 //! What an instance does with the rows of a store that came back from an older copy.
 
+mod support;
+
 use decision::{
     AttemptOutcome, Configuration, KeyOwner, Lease, Refusal, RetryPolicy, Route, Router,
     RouterBounds, ServiceSpec, TargetEntry, TargetId, TargetNotice, TargetQuery, TargetStage, Time,
     target_tag,
 };
+use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -652,3 +655,132 @@
     router.note_configuration(SECOND * 30, 51);
     assert_eq!(keyed(&router, SECOND * 30), Ok(()));
 }
+
+/// Entry of one target in the store: its start, and whether it drains.
+type Listed = Option<(u64, bool)>;
+
+#[derive(Clone, Debug)]
+enum Change {
+    /// The entry is written or removed.
+    Write(Listed),
+    /// The store comes back with this entry.
+    Restore(Listed),
+    /// The instance stands still for so many seconds.
+    Freeze(u64),
+}
+
+fn listed() -> impl Strategy<Value = Listed> {
+    proptest::option::of((0_u64..3, any::<bool>()))
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        listed().prop_map(Change::Write),
+        listed().prop_map(Change::Restore),
+        (1_u64..40).prop_map(Change::Freeze),
+    ]
+}
+
+/// Returns the entry of a target whose address tells its start.
+fn listed_entry((started_ms, is_draining): (u64, bool)) -> TargetEntry {
+    let entry = if is_draining {
+        draining(0, started_ms)
+    } else {
+        entry(0, started_ms)
+    };
+    TargetEntry {
+        address: ([10, 0, 0, 1], started_ms as u16).into(),
+        ..entry
+    }
+}
+
+/// Returns the start of the target that a request is sent to.
+fn used_start(router: &mut Router, now: Time) -> Option<u64> {
+    let pick = router.choose(now, &query(1)).ok()?;
+    router.finish_attempt(now, &pick.lease, AttemptOutcome::Completed);
+    Some(pick.address.port().into())
+}
+
+proptest! {
+    #![proptest_config(support::config(5_000))]
+
+    /// Whatever is written, removed and restored, a process that was seen to drain or
+    /// to leave gets no request until it is written as ready or a restored entry of it
+    /// has outlived its lapse; and one that is listed as ready is used by then.
+    #[test]
+    fn restored_entries_use_no_target_that_left_and_lose_none(
+        changes in proptest::collection::vec((change(), 0_u64..30), 1..12),
+    ) {
+        let mut router = router(0);
+        let mut now = RESTORED;
+        let mut restored_at = None;
+        // Processes that drain or have left, and the one that is known to drain.
+        let mut left = BTreeMap::new();
+        let mut draining = None;
+        let mut row: Listed = None;
+        let mut last_start = 0;
+        for (change, pulses) in changes {
+            // The start of a process is later than those before, or unknown.
+            match change {
+                Change::Write(Some((start, _))) if (1..last_start).contains(&start) => continue,
+                Change::Write(Some((start, _))) | Change::Restore(Some((start, _))) => {
+                    last_start = last_start.max(start);
+                }
+                _ => {}
+            }
+            if let (Some(at), Some((start, false))) = (restored_at, row)
+                && now >= at + LAPSE_TIME
+            {
+                left.remove(&start);
+            }
+            let in_grace = restored_at.is_some_and(|at| now < at + Duration::from_millis(2_200));
+            match change {
+                Change::Write(new) => {
+                    match (row, new) {
+                        (_, Some((start, true))) => { left.insert(start, now); }
+                        (_, Some((start, false))) => { left.remove(&start); }
+                        (Some((start, _)), None) if !in_grace => { left.insert(start, now); }
+                        _ => {}
+                    }
+                    draining = new.filter(|(_, drains)| *drains).map(|(start, _)| start);
+                    router.update_target(now, &id(0), new.map(listed_entry));
+                    row = new;
+                }
+                Change::Restore(new) => {
+                    restored_at = Some(now);
+                    router.store_restored(now);
+                    if new != row {
+                        router.restore_target(now, &id(0), new.map(listed_entry));
+                    }
+                    row = new;
+                    match row {
+                        Some((start, true)) => draining = Some(start),
+                        Some((start, false)) if draining == Some(start) => {}
+                        _ => draining = None,
+                    }
+                }
+                Change::Freeze(seconds) => {
+                    now += SECOND * seconds as u32;
+                    router.remove_lapsed(now);
+                }
+            }
+            for _ in 0..=pulses {
+                let used = used_start(&mut router, now);
+                let outlived = restored_at.is_some_and(|at| now >= at + LAPSE_TIME);
+                if let Some(start) = used {
+                    // What happened so long ago is not undone by a restore.
+                    let left_at = left.get(&start).filter(|at| now < **at + SECOND * 60);
+                    prop_assert!(outlived || left_at.is_none(), "{start} at {now:?}");
+                }
+                run(&mut router, now, now + PULSE);
+                now += PULSE;
+            }
+        }
+        let end = now + LAPSE_TIME;
+        run(&mut router, now, end);
+        let expected = row.filter(|(_, drains)| !drains).map(|(start, _)| start);
+        if expected.is_none_or(|start| start == 0 || draining != Some(start)) {
+            prop_assert_eq!(used_start(&mut router, end), expected);
+        }
+    }
+}
