Note only newer versions of the configuration

A proof could hold for a configuration that other instances knew to be old: the note of the newer version was dropped when instances that lag behind were heard to have more than 16 older ones, as the notes are bounded in number and the one heard of least recently goes first.

Versions that are no newer than the one in force are not noted any more. The new test notes version 51, and a second later versions 1 to 50; before, a proof of version 50 was taken after that and the key accepted, and now it is refused.

--- a/crates/decision/src/router/versions.rs
+++ b/crates/decision/src/router/versions.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Versions {
     stored: Stored,
-    /// Versions in force at other instances, with the time at which each was last
+    /// Newer versions in force at other instances, with the time at which each was last
     /// heard of.
     noted: BTreeMap<Version, Time>,
     /// End of the time in which a noted version counts against earlier proofs.
@@ -91,6 +91,9 @@
     /// The version counts for some seconds: while it is newer than the one in force,
     /// nothing proves the latter to be the newest.
     pub fn note_configuration(&mut self, now: Time, version: Version) {
+        if Some(version) <= self.version() {
+            return;
+        }
         self.versions.note(now, version);
         if let Some(until) = self.versions.suspended_until(now, self.version()) {
             self.freshness.suspend(until);
--- a/crates/decision/tests/restored.rs
+++ b/crates/decision/tests/restored.rs
@@ -636,6 +636,19 @@
     assert!(proved(&mut router, SECOND * 34));
 }
 
+// Guards against a newer version that is forgotten because instances that lag behind
+// have many older ones.
+#[test]
+fn older_versions_of_others_hide_no_newer_one() {
+    let mut router = router(1);
+    router.note_configuration(SECOND * 10, 51);
+    for version in 1..=50 {
+        router.note_configuration(SECOND * 11, version);
+    }
+    router.configuration_verified(SECOND * 11);
+    assert_eq!(keyed(&router, SECOND * 11), Err(Refusal::Stale));
+}
+
 // Guards against an instance that starts with the configuration of a restored store, and
 // takes keys that were revoked until its proof is too old (CONFIG).
 #[test]
