Keep a silent attempt until another one responds

Callers saw 502 in place of the response of a sound target: before its first byte, or the first event of its stream, a silent attempt was dropped as soon as another target had been chosen. If that one refused, failed or held the request and then refused it, nothing was left.

Cause: a working alternative was released before its replacement was acquired. Streams in progress were mended before; their start and all other repeatable requests were not.

Attempts at one request may now run side by side (overlap.rs). The first usable response ends the others: a complete one with a status other than 5xx, or a stream with its first event. An attempt that fails ends alone, and the request fails with the last one. On resumable routes and those with prompts, where model engines work on the request, the silent target is left once the other one has held the request for 250 ms, as for streams in progress; the limit and the return to the target that was left are one copy for both. Other idempotent requests keep all their attempts until one responds, within the attempts of the route and the retry budget. What all attempts share is in admitted.rs, so that they can outlive changes of the request's state.

The log and the metrics name each attempt's error once: silent for one that was left, surplus for one that was asked beside a target that then responded. A silent target that responds after all counts as sound; one that is left still counts as broken, so that mute targets are ejected. A retry that was not sent gives its token back.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to send a request to one target.
 
 use crate::SharedGateway;
-use decision::{AttemptOutcome, Lease, Pick, Refusal, TargetId, TargetNotice};
+use decision::{AttemptOutcome, Lease, Pick, Refusal, TargetNotice};
 use exchange::Driver;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -40,11 +40,6 @@
         }
     }
 
-    /// Returns the target of the attempt.
-    pub(crate) fn target(&self) -> &TargetId {
-        &self.lease.target
-    }
-
     /// Ends the attempt with an outcome.
     pub(crate) fn end(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
@@ -88,6 +83,10 @@
     Disconnected(String),
     /// The request ran, but its response exceeds a size limit.
     TooLarge,
+    /// The target was silent and was left for another one.
+    Silent,
+    /// Another attempt, which was under way before, got the response.
+    Surplus,
 }
 
 impl AttemptError {
@@ -99,6 +98,8 @@
                 | AttemptError::Disconnected(_)
                 | AttemptError::TooLarge
                 | AttemptError::Failed
+                | AttemptError::Silent
+                | AttemptError::Surplus
         )
     }
 
@@ -114,9 +115,10 @@
             AttemptError::NotSent(_)
             | AttemptError::Lost(_)
             | AttemptError::Disconnected(_)
-            | AttemptError::TooLarge => AttemptOutcome::Broken,
+            | AttemptError::TooLarge
+            | AttemptError::Silent => AttemptOutcome::Broken,
             AttemptError::Failed => AttemptOutcome::Failed,
-            AttemptError::Withheld(_) => AttemptOutcome::Abandoned,
+            AttemptError::Withheld(_) | AttemptError::Surplus => AttemptOutcome::Abandoned,
             AttemptError::Full => AttemptOutcome::Full,
             AttemptError::Moved => AttemptOutcome::Moved,
         }
@@ -132,6 +134,8 @@
             AttemptError::Failed => "failed",
             AttemptError::Lost(_) | AttemptError::Disconnected(_) => "lost",
             AttemptError::TooLarge => "too_large",
+            AttemptError::Silent => "silent",
+            AttemptError::Surplus => "surplus",
         }
     }
 
@@ -145,7 +149,9 @@
             AttemptError::Full
             | AttemptError::Moved
             | AttemptError::Failed
-            | AttemptError::TooLarge => "",
+            | AttemptError::TooLarge
+            | AttemptError::Silent
+            | AttemptError::Surplus => "",
         }
     }
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,9 +1,9 @@
 //! Detection of requests under which targets crash.
 
 use crate::SharedGateway;
+use crate::admitted::AdmittedRequest;
 use crate::attempt::CallerRequest;
-use crate::forward::ForwardedRequest;
-use decision::{Admission, Fingerprint, Time, hash_parts};
+use decision::{Admission, Fingerprint, Pick, Time, hash_parts};
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use platform::requests::CallerHead;
@@ -56,19 +56,17 @@
     format!("{fingerprint:016x}")
 }
 
-/// Checks in the background whether the target of the latest attempt has crashed. To
-/// be called where the connection ended before the response was under way.
-pub(crate) fn check_target(request: &ForwardedRequest) {
-    check(request, false);
+/// Checks in the background whether the target of an attempt has crashed. To be called
+/// where the connection ended before the response was under way.
+pub(crate) fn check_target(request: &AdmittedRequest, pick: &Pick) {
+    check(request, pick, false);
 }
 
-/// Checks the target of the latest attempt as [`check_target`] does. If it is up, a
-/// response that seems complete is.
-fn check(request: &ForwardedRequest, seems_complete: bool) {
-    let (Some((lease, address)), gateway) = (request.last_target.clone(), request.gateway.clone())
-    else {
-        return;
-    };
+/// Checks the target of an attempt as [`check_target`] does. If it is up, a response
+/// that seems complete is.
+fn check(request: &AdmittedRequest, pick: &Pick, seems_complete: bool) {
+    let (lease, address) = (pick.lease.clone(), pick.address);
+    let gateway = request.gateway.clone();
     let attempt = request.head.attempt.clone();
     let fingerprints = request.fingerprints.clone();
     let lost_at = gateway.now();
@@ -102,9 +100,9 @@
 /// Records the complete success of a request. Where its end is that of the
 /// connection, a crash of the target looks the same, so that the target is checked
 /// before.
-pub(crate) fn record_response(request: &ForwardedRequest, ends_with_connection: bool) {
+pub(crate) fn record_response(request: &AdmittedRequest, pick: &Pick, ends_with_connection: bool) {
     if ends_with_connection {
-        return check(request, true);
+        return check(request, pick, true);
     }
     let mut router = request.gateway.router.borrow_mut();
     router.record_begin(request.gateway.now(), &request.fingerprints);
@@ -116,8 +114,10 @@
 }
 
 /// What a stream from one target tells of crashes so far.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct StreamProgress {
+    /// Choice of the target.
+    pick: Pick,
     ends_with_connection: bool,
     /// Time of the first event.
     since: Option<Time>,
@@ -127,8 +127,9 @@
 
 impl StreamProgress {
     /// Starts with the head of the response.
-    pub(crate) fn new(headers: &HeaderMap) -> Self {
+    pub(crate) fn new(headers: &HeaderMap, pick: Pick) -> Self {
         StreamProgress {
+            pick,
             ends_with_connection: ends_with_connection(headers),
             since: None,
             is_proved: false,
@@ -136,27 +137,27 @@
     }
 
     /// Records an event.
-    pub(crate) fn record_event(&mut self, request: &ForwardedRequest) {
+    pub(crate) fn record_event(&mut self, request: &AdmittedRequest) {
         let now = request.gateway.now();
         let since = *self.since.get_or_insert(now);
         if !self.is_proved && now.saturating_sub(since) >= PROOF_TIME {
             self.is_proved = true;
-            record_response(request, false);
+            record_response(request, &self.pick, false);
         }
     }
 
     /// Records that the stream has ended as if it were complete.
-    pub(crate) fn record_complete(&mut self, request: &ForwardedRequest) {
+    pub(crate) fn record_complete(&mut self, request: &AdmittedRequest) {
         if self.since.is_some() && !self.is_proved {
             self.is_proved = true;
-            record_response(request, self.ends_with_connection);
+            record_response(request, &self.pick, self.ends_with_connection);
         }
     }
 
     /// Records that the connection was closed or reset before the end of the stream.
-    pub(crate) fn record_loss(&self, request: &ForwardedRequest) {
+    pub(crate) fn record_loss(&self, request: &AdmittedRequest) {
         if !self.is_proved {
-            check_target(request);
+            check_target(request, &self.pick);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! Everything runs on one thread. The decisions are made in [`decision`]; the
 //! formats of the platform's interfaces are in [`platform`].
 
+mod admitted;
 mod attempt;
 mod clock;
 mod control;
@@ -17,6 +18,7 @@
 mod fleet;
 mod forward;
 mod metrics;
+mod overlap;
 mod relay;
 mod responses;
 mod server;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,15 +3,18 @@
 //! If a target fails in the middle of a resumable stream, the stream continues at
 //! another target after the last event that the caller got.
 
+use crate::admitted::Choice;
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
 use crate::crashes::{self, StreamProgress};
-use crate::forward::{Choice, ForwardedRequest, RequestCounter};
+use crate::forward::{ForwardedRequest, RequestCounter};
+use crate::overlap;
 use crate::responses::{ChannelBody, ResponseBody, Truncated};
 use crate::sse::SseEvent;
-use crate::target_stream::{TargetStream, cut, lost};
-use decision::{AttemptOutcome, Pick, Refusal, RetryPolicy, TargetId, Time};
+use crate::target_stream::{TargetStream, lost};
+use decision::{AttemptOutcome, Pick, Refusal, RetryPolicy, Time};
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
+use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response, StatusCode, header};
 use platform::requests;
 use serde_json::{Value, json};
@@ -27,52 +30,26 @@
 const GAP_FACTOR: f64 = 2.5;
 /// Lower limit of that time. Sound targets are silent for about a second at times.
 const MIN_GAP: Duration = Duration::from_millis(1_500);
-/// Time for which a silent target and the one that is to continue its stream may
-/// both hold the request; the operators allow 400 ms.
-const MAX_OVERLAP: Duration = Duration::from_millis(250);
 /// Time left before the deadline below which a stream is not resumed.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(100);
 /// Pause before a stream is resumed at yet another target, after one that was full
 /// or could not be reached.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
-/// Waits for the first event and starts the task that relays the stream. If no
-/// event arrives, returns the request and the error, for another attempt.
-pub(crate) async fn start(
-    mut request: ForwardedRequest,
-    opened: OpenResponse,
-    lease: LeaseGuard,
-) -> Result<Response<ResponseBody>, (Box<ForwardedRequest>, AttemptError)> {
-    let is_resumed = request.head.last_event.is_some();
-    let (parts, mut stream) = TargetStream::new(&request.gateway, opened, lease, is_resumed);
-    let target = stream.target.clone();
-    let first = tokio::select! {
-        biased;
-        first = stream.next() => first,
-        () = tokio::time::sleep(request.time_left()) => Err(no_event()),
-        successor = request.wait_for_first_byte(&target) => {
-            request.successor = Some(successor);
-            Err(no_event())
-        }
-    };
-    let first = match first {
-        Ok(None) if !stream.may_be_empty => Err(cut("the stream has no event")),
-        first => first,
-    };
-    let first = match first {
-        Ok(first) => first,
-        Err(error) => {
-            stream.end(AttemptOutcome::Broken);
-            return Err((Box::new(request), error));
-        }
-    };
-    let progress = StreamProgress::new(&parts.headers);
-    let gateway = request.gateway.clone();
-    gateway
-        .metrics
-        .record_latency("first_event", gateway.now().saturating_sub(request.arrived));
+/// Starts the task that relays a stream whose first event is `first`, and returns the
+/// response to the caller.
+pub(crate) fn start(
+    request: ForwardedRequest,
+    parts: Parts,
+    stream: TargetStream,
+    first: Option<SseEvent>,
+) -> Response<ResponseBody> {
+    let progress = StreamProgress::new(&parts.headers, stream.pick.clone());
+    let gateway = &request.admitted.gateway;
+    let took = gateway.now().saturating_sub(request.admitted.arrived);
+    gateway.metrics.record_latency("first_event", took);
     let (sender, frames) = mpsc::channel(EVENT_QUEUE);
-    let counted = RequestCounter::new(&gateway);
+    let counted = RequestCounter::new(gateway);
     let body = ChannelBody::new(frames);
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = parts.status;
@@ -87,16 +64,11 @@
             last_id: None,
             events: 0,
             progress,
-            left: None,
         }
         .run(stream, first)
         .await;
     });
-    Ok(response)
-}
-
-fn no_event() -> AttemptError {
-    AttemptError::Lost("no event in time".to_owned())
+    response
 }
 
 /// Task that relays one stream to one caller.
@@ -110,8 +82,6 @@
     /// Events sent to the caller.
     events: u32,
     progress: StreamProgress,
-    /// Target that was left for its silence.
-    left: Option<TargetId>,
 }
 
 /// Why the stream from one target ended.
@@ -162,16 +132,18 @@
                 StreamEnd::Failed(error) => error,
             };
             self.request
+                .admitted
                 .gateway
                 .metrics
                 .count("streams_cut", error.label());
-            match self.resume(&error).await {
+            match self.resume(stream.index, &error).await {
                 Ok(resumed) => stream = resumed,
                 Err(_) if self.sender.is_closed() => {
                     return self.request.log_end("caller_left", 200, &Value::Null);
                 }
                 Err(obstacle) => {
                     self.request
+                        .admitted
                         .gateway
                         .metrics
                         .count("resume_failures", obstacle);
@@ -191,10 +163,10 @@
     ) -> StreamEnd {
         // Events that the caller has already got are no progress: a target that
         // repeats them forever must not hold the stream.
-        let mut last_progress = self.request.gateway.now();
+        let mut last_progress = self.request.admitted.gateway.now();
         let mut max_gap = match first {
             Some(_) => self.max_gap(),
-            None => self.max_gap().max(self.request.first_byte_limit()),
+            None => self.max_gap().max(self.request.admitted.first_byte_limit()),
         };
         // An event without an id is as new as the one before it.
         let mut is_new = self.last_id.is_none();
@@ -213,19 +185,19 @@
             };
             is_new = event.id.map_or(is_new, |id| Some(id) > self.last_id);
             has_new |= is_new;
-            self.progress.record_event(&self.request);
+            self.progress.record_event(&self.request.admitted);
             if is_new {
                 self.last_id = event.id.or(self.last_id);
                 self.events += 1;
                 // A caller that stops reading must not occupy its target beyond
                 // the deadline.
                 let sent = self.sender.send(Ok(event.bytes));
-                match tokio::time::timeout(self.request.time_left(), sent).await {
+                match tokio::time::timeout(self.request.admitted.time_left(), sent).await {
                     Ok(Ok(())) => {}
                     Ok(Err(_)) => return StreamEnd::CallerLeft,
                     Err(_) => return StreamEnd::DeadlinePassed,
                 }
-                last_progress = self.request.gateway.now();
+                last_progress = self.request.admitted.gateway.now();
                 max_gap = self.max_gap();
             }
             if !is_new && self.idle(last_progress) >= max_gap {
@@ -248,7 +220,7 @@
     ) -> Result<SseEvent, StreamEnd> {
         let mut pause = Duration::ZERO;
         loop {
-            let left = self.request.time_left();
+            let left = self.request.admitted.time_left();
             if left.is_zero() {
                 return Err(StreamEnd::DeadlinePassed);
             }
@@ -256,7 +228,7 @@
             // Unlimited once a failed successor was the last attempt.
             let max_gap = max_gap.max(self.max_gap());
             let wait = max_gap.saturating_sub(idle).max(pause);
-            let target = stream.target.clone();
+            let silent = [stream.target().clone()];
             let successor = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Err(StreamEnd::CallerLeft),
@@ -264,7 +236,7 @@
                     return event.map_err(StreamEnd::Failed)?.ok_or(StreamEnd::Complete);
                 }
                 () = tokio::time::sleep(left) => return Err(StreamEnd::DeadlinePassed),
-                successor = self.request.wait_for_successor(&target, wait, MIN_RESUME_TIME) => {
+                successor = self.request.wait_for_successor(&silent, wait, MIN_RESUME_TIME) => {
                     successor
                 }
             };
@@ -278,9 +250,9 @@
     /// Records what the end of the stream from one target tells of crashes.
     fn record_progress(&mut self, end: &StreamEnd) {
         match end {
-            StreamEnd::Complete => self.progress.record_complete(&self.request),
+            StreamEnd::Complete => self.progress.record_complete(&self.request.admitted),
             StreamEnd::Failed(AttemptError::Disconnected(_)) => {
-                self.progress.record_loss(&self.request);
+                self.progress.record_loss(&self.request.admitted);
             }
             StreamEnd::CallerLeft
             | StreamEnd::DeadlinePassed
@@ -292,65 +264,61 @@
     /// Asks another target to continue the stream of a silent one, which is left
     /// once the other one has accepted the request. Returns `None` if it doesn't.
     ///
-    /// A target that has not responded after [`MAX_OVERLAP`] has not refused the
-    /// request either: it holds it, and the silent one is left.
+    /// A target that has held the request for a while has not refused it either, and
+    /// the silent one is left.
     async fn try_successor(
         &mut self,
         stream: &mut TargetStream,
         (pick, lease): Choice,
     ) -> Option<Result<SseEvent, StreamEnd>> {
-        if !self.request.tried.contains(&stream.target) {
-            self.request.tried.push(stream.target.clone());
-        }
-        self.request.record_attempt(&pick);
+        let index = self.request.record_attempt(&pick);
         let opened = match self.overlap(stream, &pick).await {
             Overlap::Responded(opened) => opened,
             Overlap::Continued(event) => {
+                self.request.record_error(index, &AttemptError::Surplus);
                 self.request.runs += 1;
                 return Some(event.ok_or(StreamEnd::Complete));
             }
             Overlap::CallerLeft => return Some(Err(StreamEnd::CallerLeft)),
         };
-        self.request.record_load(&pick, &opened);
-        let address = pick.address;
-        let silent = self.request.last_target.replace((pick.lease, address));
+        self.record_load(index, &pick, &opened);
         let error = match opened {
             Ok(opened) if self.can_continue(&opened) => {
+                self.request
+                    .record_error(stream.index, &AttemptError::Silent);
                 self.request.runs += 1;
-                let gateway = &self.request.gateway;
+                let gateway = &self.request.admitted.gateway;
                 gateway.metrics.count("resumes", "silent");
-                let (parts, successor) = TargetStream::new(gateway, opened, lease, true);
-                self.progress = StreamProgress::new(&parts.headers);
+                let successor = self.continue_at(opened, index, pick, lease);
                 return Some(Err(StreamEnd::Replaced(Box::new(successor))));
             }
             Ok(_) => AttemptError::Failed,
             Err(error) => error,
         };
         lease.end(error.outcome());
+        self.request.record_error(index, &error);
         if matches!(error, AttemptError::Disconnected(_)) {
-            crashes::check_target(&self.request);
+            crashes::check_target(&self.request.admitted, &pick);
+        }
+        if !error.may_have_arrived() {
+            self.request.admitted.return_retry();
         }
-        self.request.last_target = silent;
         if !error.has_not_run() {
             self.request.runs += 1;
         }
         if !stream.is_open() {
             return Some(Err(StreamEnd::Failed(error)));
         }
-        self.request.record_error(&error);
         None
     }
 
     /// Sends the request to another target while a silent one may still continue its
-    /// stream, for [`MAX_OVERLAP`] at most.
+    /// stream, for as long as two targets may hold the request.
     async fn overlap(&mut self, stream: &mut TargetStream, pick: &Pick) -> Overlap {
         let sent = Notify::new();
-        let timeout = self.request.time_left();
-        let sending = self.request.send_with(pick, self.last_id, timeout, &sent);
-        let held = async {
-            sent.notified().await;
-            tokio::time::sleep(MAX_OVERLAP).await;
-        };
+        let admitted = self.request.admitted.clone();
+        let sending = admitted.send(pick, self.last_id, &sent);
+        let held = overlap::wait_until_held(&sent);
         let (mut sending, mut held) = (std::pin::pin!(sending), std::pin::pin!(held));
         loop {
             tokio::select! {
@@ -362,29 +330,61 @@
                     Ok(event) => return Overlap::Continued(event),
                     Err(error) => {
                         stream.end(AttemptOutcome::Broken);
+                        self.request.record_error(stream.index, &error);
                         if matches!(error, AttemptError::Disconnected(_)) {
-                            self.progress.record_loss(&self.request);
+                            self.progress.record_loss(&admitted);
                         }
                     }
                 },
                 opened = sending.as_mut() => return Overlap::Responded(opened),
                 () = held.as_mut(), if stream.is_open() => {
                     stream.end(AttemptOutcome::Broken);
-                    self.left = Some(stream.target.clone());
+                    self.request.record_error(stream.index, &AttemptError::Silent);
+                    self.request.left = Some(stream.target().clone());
                 }
             }
         }
     }
 
+    /// Records the load that a response reports of its target.
+    fn record_load(
+        &mut self,
+        index: usize,
+        pick: &Pick,
+        opened: &Result<OpenResponse, AttemptError>,
+    ) {
+        let load = opened.as_ref().ok().and_then(|opened| opened.target_load);
+        self.request.record_load(index, pick, load);
+    }
+
+    /// Continues the stream with the response of another target.
+    fn continue_at(
+        &mut self,
+        opened: OpenResponse,
+        index: usize,
+        pick: Pick,
+        lease: LeaseGuard,
+    ) -> TargetStream {
+        let gateway = &self.request.admitted.gateway;
+        let (parts, mut stream) = TargetStream::new(gateway, opened, index, pick, true);
+        stream.hold(lease);
+        self.progress = StreamProgress::new(&parts.headers, stream.pick.clone());
+        stream
+    }
+
     /// Returns the time since `last_progress`.
     fn idle(&self, last_progress: Time) -> Duration {
-        self.request.gateway.now().saturating_sub(last_progress)
+        self.request
+            .admitted
+            .gateway
+            .now()
+            .saturating_sub(last_progress)
     }
 
     /// Returns the longest time without a new event before another target is asked
     /// to continue the stream; unlimited if it can't be resumed.
     fn max_gap(&self) -> Duration {
-        let route = &self.request.admission.route;
+        let route = &self.request.admitted.admission.route;
         if route.retry_policy == RetryPolicy::Resumable
             && self.last_id.is_some()
             && self.request.runs + 1 < route.max_attempts
@@ -394,51 +394,54 @@
         Duration::MAX
     }
 
-    /// Continues the stream after its last event at another target.
+    /// Continues the stream of attempt `index`, which ended with `error`, after its last
+    /// event at another target.
     ///
     /// # Errors
     ///
     /// Returns why it can't be resumed, as a label of the metrics.
-    async fn resume(&mut self, error: &AttemptError) -> Result<TargetStream, &'static str> {
-        self.request.record_error(error);
+    async fn resume(
+        &mut self,
+        index: usize,
+        error: &AttemptError,
+    ) -> Result<TargetStream, &'static str> {
+        self.request.record_error(index, error);
         self.request.runs += 1;
-        let route = self.request.admission.route.clone();
+        let route = self.request.admitted.admission.route.clone();
         if route.retry_policy != RetryPolicy::Resumable || self.last_id.is_none() {
             return Err("not_resumable");
         }
         if self.request.runs >= route.max_attempts {
             return Err("no_attempt_left");
         }
-        while self.request.time_left() > MIN_RESUME_TIME && !self.sender.is_closed() {
-            if !self.request.take_retry() {
+        while self.request.admitted.time_left() > MIN_RESUME_TIME && !self.sender.is_closed() {
+            if !self.request.admitted.take_retry() {
                 return Err("no_retry");
             }
-            let (pick, lease) = self.choose_target().map_err(Refusal::word)?;
-            let after = self.last_id;
-            let timeout = self.request.time_left();
+            let (pick, lease) = self.request.choose_target().map_err(Refusal::word)?;
+            let index = self.request.record_attempt(&pick);
+            let (admitted, sent) = (self.request.admitted.clone(), Notify::new());
             let opened = tokio::select! {
                 biased;
                 () = self.sender.closed() => break,
-                opened = self.request.send_attempt(&pick, after, timeout) => opened,
+                opened = admitted.send(&pick, self.last_id, &sent) => opened,
             };
-            self.request.record_load(&pick, &opened);
+            self.record_load(index, &pick, &opened);
             match opened {
                 Ok(opened) if self.can_continue(&opened) => {
-                    self.request.gateway.metrics.count("resumes", error.label());
-                    let gateway = &self.request.gateway;
-                    let (parts, stream) = TargetStream::new(gateway, opened, lease, true);
-                    self.progress = StreamProgress::new(&parts.headers);
-                    return Ok(stream);
+                    admitted.gateway.metrics.count("resumes", error.label());
+                    return Ok(self.continue_at(opened, index, pick, lease));
                 }
                 Ok(_) => {
                     lease.end(AttemptOutcome::Failed);
+                    self.request.record_error(index, &AttemptError::Failed);
                     return Err("failed");
                 }
                 Err(retry_error) => {
-                    self.request.record_error(&retry_error);
+                    self.request.record_error(index, &retry_error);
                     lease.end(retry_error.outcome());
                     if matches!(retry_error, AttemptError::Disconnected(_)) {
-                        crashes::check_target(&self.request);
+                        crashes::check_target(&admitted, &pick);
                     }
                     if !retry_error.has_not_run() {
                         return Err(retry_error.label());
@@ -450,18 +453,6 @@
         Err("no_time")
     }
 
-    /// Chooses a target to continue the stream; the one that was left for its silence
-    /// only if there is no other.
-    fn choose_target(&mut self) -> Result<Choice, Refusal> {
-        let refusal = match self.request.choose_target() {
-            Err(refusal) => refusal,
-            chosen => return chosen,
-        };
-        let left = self.left.take().ok_or(refusal)?;
-        self.request.tried.retain(|tried| *tried != left);
-        self.request.choose_target()
-    }
-
     /// Returns whether a response can continue the stream that the caller gets.
     fn can_continue(&self, opened: &OpenResponse) -> bool {
         let response = &opened.response;
--- a/crates/gateway/src/target_stream.rs
+++ b/crates/gateway/src/target_stream.rs
@@ -3,7 +3,7 @@
 use crate::SharedGateway;
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
 use crate::sse::{SseEvent, SseSplitter};
-use decision::{AttemptOutcome, TargetId};
+use decision::{AttemptOutcome, Pick, TargetId};
 use exchange::Reservation;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
@@ -33,8 +33,10 @@
     body: Incoming,
     /// Keeps the connection open; `None` once the stream is closed.
     driver: Option<exchange::Driver>,
+    /// Index in the log of the request's attempts.
+    pub(crate) index: usize,
+    pub(crate) pick: Pick,
     lease: Option<LeaseGuard>,
-    pub(crate) target: TargetId,
     splitter: SseSplitter,
     memory: Reservation,
     /// Events that have been read and not yet returned.
@@ -52,7 +54,8 @@
     pub(crate) fn new(
         gateway: &SharedGateway,
         opened: OpenResponse,
-        lease: LeaseGuard,
+        index: usize,
+        pick: Pick,
         is_resumed: bool,
     ) -> (hyper::http::response::Parts, TargetStream) {
         let OpenResponse {
@@ -62,8 +65,9 @@
         let stream = TargetStream {
             body,
             driver: Some(driver),
-            target: lease.target().clone(),
-            lease: Some(lease),
+            index,
+            pick,
+            lease: None,
             splitter: SseSplitter::default(),
             memory: gateway.memory.reservation(),
             events: VecDeque::new(),
@@ -74,6 +78,15 @@
         (parts, stream)
     }
 
+    /// Counts the stream in the load of its target until it ends.
+    pub(crate) fn hold(&mut self, lease: LeaseGuard) {
+        self.lease = Some(lease);
+    }
+
+    pub(crate) fn target(&self) -> &TargetId {
+        &self.pick.lease.target
+    }
+
     /// Returns the next event, or `None` if the target has ended the stream
     /// properly.
     pub(crate) async fn next(&mut self) -> Result<Option<SseEvent>, AttemptError> {
