--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -212,6 +212,8 @@
                     return self.finish(attempt, response);
                 }
                 Ok((attempt, UsableResponse::Stream(parts, mut stream, first))) => {
+                    let load = attempt.progress.target_load.get();
+                    self.record_load(attempt.index, &attempt.pick, load);
                     stream.hold(attempt.lease);
                     return relay::start(self, parts, *stream, first);
                 }
