Read what arrived in a pause before a target is left

Callers saw 504 in place of a response that had arrived. Two targets held the request when the instance was paused for 700 ms; the first one responded meanwhile, the other one was mute. After the pause the first was left, since the other one had held the request for 250 ms.

Cause: the limit on the overlap was checked before the connections were read. wait_for_successor allows for a pause of the instance already; the limit on the overlap did not, neither before the first byte nor within streams.

The limit, which both share, now gives 50 ms to read what has arrived if its timer was late by 50 ms or more. A timer that is on time gets no further time.

a_response_that_arrived_while_the_instance_was_frozen_is_used failed before, three times of three, with 504 after 5.2 s. It passes, five times of five, after 1.6 s.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,7 +23,7 @@
 /// Time left before the deadline below which no further attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Delay of a timer from which on this instance was not running.
-const OWN_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const OWN_DELAY: Duration = Duration::from_millis(50);
 /// Interval at which another target is looked for while one is silent.
 const SUCCESSOR_PAUSE: Duration = Duration::from_millis(250);
 /// Range of the `Retry-After` header in seconds. The value is random, so that
--- a/crates/gateway/src/overlap.rs
+++ b/crates/gateway/src/overlap.rs
@@ -6,6 +6,7 @@
 
 use crate::admitted::AdmittedRequest;
 use crate::attempt::{AttemptError, LeaseGuard, OpenResponse};
+use crate::forward::OWN_DELAY;
 use crate::sse::SseEvent;
 use crate::target_stream::{TargetStream, cut};
 use decision::{Pick, TargetId};
@@ -17,18 +18,26 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Limit on the bytes of a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Time for which a silent target and the one that takes over may both hold a request
 /// whose runs are not independent; the operators allow 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
+/// Time in which this instance reads what arrived while it was not running.
+const READ_TIME: Duration = Duration::from_millis(50);
 
 /// Waits until a target has held a request for [`MAX_OVERLAP`] since `sent` was
 /// notified. It has not refused the request by then, so the silent one is left.
 pub(crate) async fn wait_until_held(sent: &Notify) {
     sent.notified().await;
-    tokio::time::sleep(MAX_OVERLAP).await;
+    let due = Instant::now() + MAX_OVERLAP;
+    tokio::time::sleep_until(due).await;
+    // What arrived while this instance was not running has not been read yet.
+    if due.elapsed() >= OWN_DELAY {
+        tokio::time::sleep(READ_TIME).await;
+    }
 }
 
 /// Complete response with any status.
