--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -185,6 +185,13 @@
     }
 
     fn apply(&mut self, start: Time, since: Option<u64>, rows: RowsResponse) {
+        if rows.unreadable > 0 {
+            let table = TABLES[self.table];
+            self.gateway.metrics.count("unreadable_responses", table);
+            self.gateway.event_log.state_change(&json!({
+                "event": "unreadable rows", "table": table, "rows": rows.unreadable,
+            }));
+        }
         let snapshot_time = self.snapshot_time(start, rows.now_ms);
         let version = rows.version;
         let update = TableUpdate {
