--- a/crates/decision/src/id.rs
+++ b/crates/decision/src/id.rs
@@ -22,6 +22,10 @@
 /// Version of a service document or of the configuration, which only rises. That
 /// of a document starts at 1.
 pub type Version = u64;
+/// Number of times that the store has come back from a backup, counted by the store.
+/// Versions of its rows compare only within one era, because a store that comes back
+/// gives out versions again. 0 where the store doesn't say it.
+pub type Era = u64;
 /// Hash of the service, the workspace and the caller's name for a chat.
 pub type ChatId = u64;
 /// Hash of what a request asks for, the same for all callers.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -74,7 +74,7 @@
 };
 pub use hash::{chat_id, digest, hash_parts, rank};
 pub use id::{
-    AttemptId, ChatId, Digest, DomainId, Fingerprint, GrantId, Incarnation, InstanceId, PrefixHash,
+    AttemptId, ChatId, Digest, DomainId, Era, Fingerprint, GrantId, Incarnation, InstanceId, PrefixHash,
     RequestId, ServiceId, SlotRequestId, TargetId, Time, Version, WorkspaceId,
 };
 pub use loads::Loads;
