Order positions in the store by era first

After the store had come back from a backup, callers saw 401 and 404 by an outdated configuration, and 503 once its last proof was too old.

The store gives out versions again after it has come back, but copies, their proofs and the updates between instances compared versions alone. A copy took all rows below its version for stale, even a complete list, so that the 410 for its feed and the read of the table repeated; and once the store had passed the copy's version, rows that differed below it were never seen. An instance that had followed the store could be set back by one that had not.

A position is an era and a version, ordered by era first, in copies, updates and statuses; the era is 0 from an instance of an older build. A complete list of a later era replaces the copy, whose rows are compared by value; an increment of a later era is a gap, and everything of an earlier era is stale. Proofs count in the same era only, and nothing proves a copy of an earlier era than the instance has heard of. A feed that answers in a later era leads to a read of the whole table. The hub that reads it sends pulses at once, and others fetch the table.

The log names the era at its beginning, the positions that were compared where an update is refused, and each copy that is replaced; metrics show the era, the position of each copy, and the numbers of stale updates, gaps and replaced copies.

--- a/crates/decision/src/fleet/pulse.rs
+++ b/crates/decision/src/fleet/pulse.rs
@@ -1,9 +1,10 @@
 //! The messages by which gateway instances gossip.
 
 use super::tag_map::{Tag, TagMap, tag};
-use crate::id::{Incarnation, InstanceId, PrefixHash, Time};
+use crate::id::{Era, Incarnation, InstanceId, PrefixHash, Time};
 use crate::members::Listing;
 use crate::router::CrashReport;
+use crate::table_copy::Position;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -48,6 +49,27 @@
     /// Milliseconds since the copy was proved to be the newest version.
     #[serde(rename = "a")]
     pub age_ms: u32,
+    /// Era of the store that the versions are of.
+    #[serde(rename = "e", default)]
+    pub era: Era,
+}
+
+impl CopyStatus {
+    /// Returns the position of the copy.
+    pub fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            version: self.version,
+        }
+    }
+
+    /// Returns the position of the latest change of the table in the copy.
+    pub fn last_change(&self) -> Position {
+        Position {
+            era: self.era,
+            version: self.changed,
+        }
+    }
 }
 
 /// Returns the tag that stands for a target in pulses.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -74,8 +74,8 @@
 };
 pub use hash::{chat_id, digest, hash_parts, rank};
 pub use id::{
-    AttemptId, ChatId, Digest, DomainId, Era, Fingerprint, GrantId, Incarnation, InstanceId, PrefixHash,
-    RequestId, ServiceId, SlotRequestId, TargetId, Time, Version, WorkspaceId,
+    AttemptId, ChatId, Digest, DomainId, Era, Fingerprint, GrantId, Incarnation, InstanceId,
+    PrefixHash, RequestId, ServiceId, SlotRequestId, TargetId, Time, Version, WorkspaceId,
 };
 pub use loads::Loads;
 pub use members::{Listing, Member, MemberStatus, Members};
@@ -96,4 +96,4 @@
     TargetQuery,
 };
 pub use slots::{Denial, LoadReport, SlotLedger};
-pub use table_copy::{ApplyOutcome, TableCopy, TableRow, TableUpdate};
+pub use table_copy::{ApplyOutcome, Position, TableCopy, TableRow, TableUpdate};
--- a/crates/decision/src/table_copy.rs
+++ b/crates/decision/src/table_copy.rs
@@ -1,6 +1,7 @@
 //! An instance's local copy of a table of the store, and how new it is.
 
-use crate::id::Time;
+use crate::fleet::CopyStatus;
+use crate::id::{Era, Time};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use smol_str::SmolStr;
@@ -13,6 +14,18 @@
 /// Removed rows that are remembered, for updates to copies of an older version.
 const MAX_REMOVED: usize = 1_000;
 
+/// Position in the history of the store.
+///
+/// Positions are ordered by era first: the store gives out the versions of an
+/// earlier era again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Position {
+    /// Era.
+    pub era: Era,
+    /// Version within the era.
+    pub version: u64,
+}
+
 /// A row of a table, or the removal of one.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,10 +45,13 @@
 /// Changes of a table, or all of its rows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableUpdate {
-    /// Version since which the rows changed; `None` where the update has all rows
-    /// of the table.
+    /// Version of the same era since which the rows changed; `None` where the update
+    /// has all rows of the table.
     #[serde(rename = "s", default)]
     pub since: Option<u64>,
+    /// Era of the store.
+    #[serde(rename = "e", default)]
+    pub era: Era,
     /// Version of the table with the update applied.
     #[serde(rename = "v")]
     pub version: u64,
@@ -45,6 +61,14 @@
 }
 
 impl TableUpdate {
+    /// Returns the position of the table with the update applied.
+    pub fn position(&self) -> Position {
+        Position {
+            era: self.era,
+            version: self.version,
+        }
+    }
+
     /// Returns about how many bytes the rows take up in a message.
     pub fn byte_size(&self) -> usize {
         let value = |row: &TableRow| row.value.as_ref().map_or(0, Vec::len);
@@ -58,6 +82,9 @@
 pub enum ApplyOutcome {
     /// The update was applied, and these rows of the copy changed.
     Changed(Vec<TableRow>),
+    /// The update replaced a copy of an earlier era, in which these rows had another
+    /// value.
+    Replaced(Vec<TableRow>),
     /// The update is older than the copy and was ignored.
     Stale,
     /// Changes between the copy and the update are missing, so that it was ignored.
@@ -66,14 +93,21 @@
 
 /// Copy of a table of the store.
 ///
-/// Its version never goes back: an update that is older than the copy changes
-/// nothing and proves nothing.
+/// Its position never goes back: an update that is older than the copy changes
+/// nothing and proves nothing. Nothing proves a copy of an earlier era than the
+/// latest one that was heard of, because the answer may come from a part of the
+/// store that lags behind.
 #[derive(Clone, Debug, Default)]
 pub struct TableCopy {
     rows: BTreeMap<SmolStr, (u64, Vec<u8>)>,
-    version: Option<u64>,
+    position: Option<Position>,
+    /// Latest era of the store that was heard of.
+    latest_era: Era,
+    /// Version of the latest change of a row, in the era of the copy.
     last_change: u64,
-    verified_at: Option<Time>,
+    /// Latest time at which the copy was proved to be the newest one, and the era
+    /// that it was of then.
+    verified: Option<(Era, Time)>,
     /// Removed rows with the versions of their removal, the oldest first.
     removed: VecDeque<(u64, SmolStr)>,
     /// Version since which `removed` is complete.
@@ -81,47 +115,82 @@
 }
 
 impl TableCopy {
-    /// Returns the version of the copy; `None` where nothing has been read yet.
-    pub fn version(&self) -> Option<u64> {
-        self.version
+    /// Returns the position of the copy; `None` where nothing has been read yet.
+    pub fn position(&self) -> Option<Position> {
+        self.position
     }
 
-    /// Returns the latest time at which the copy was proved to be the newest version.
+    /// Returns the latest time at which the copy was proved to be the newest version,
+    /// in any era.
     pub fn verified_at(&self) -> Option<Time> {
-        self.verified_at
+        self.verified.map(|(_, at)| at)
     }
 
-    /// Returns the version of the latest change of a row.
+    /// Returns the position of the latest change of a row.
     ///
-    /// The store counts versions over all its tables, so that
-    /// [`TableCopy::version`] rises without a change of this table too.
-    pub fn last_change(&self) -> u64 {
-        self.last_change
+    /// The store counts versions over all its tables, so that the version of
+    /// [`TableCopy::position`] rises without a change of this table too.
+    pub fn last_change(&self) -> Option<Position> {
+        let position = self.position?;
+        Some(Position {
+            version: self.last_change,
+            ..position
+        })
+    }
+
+    /// Returns the state of the copy for other instances; `None` where it has not
+    /// been proved in its era.
+    pub fn status(&self, now: Time) -> Option<CopyStatus> {
+        let position = self.position?;
+        let (_, at) = self.verified.filter(|(era, _)| *era == position.era)?;
+        Some(CopyStatus {
+            version: position.version,
+            changed: self.last_change,
+            age_ms: now.saturating_sub(at).as_millis() as u32,
+            era: position.era,
+        })
     }
 
-    /// Records that `version`, with its latest change in version `changed`, was the
-    /// newest one at `at`. Returns whether the copy has all of its changes.
-    pub fn verify(&mut self, version: u64, changed: u64, at: Time) -> bool {
-        let Some(known) = self.version else {
+    /// Returns the latest era of the store that was heard of.
+    pub fn latest_era(&self) -> Era {
+        self.latest_era
+    }
+
+    /// Records that the store has been in an era.
+    pub fn note_era(&mut self, era: Era) {
+        self.latest_era = self.latest_era.max(era);
+    }
+
+    /// Records that `position`, with the table's latest change in version `changed`,
+    /// was the newest one at `at`. Returns whether the copy has all of its changes.
+    pub fn verify(&mut self, position: Position, changed: u64, at: Time) -> bool {
+        self.note_era(position.era);
+        let Some(known) = self.position.filter(|known| known.era == self.latest_era) else {
             return false;
         };
-        if version < known || changed > known {
+        if position < known || changed > known.version {
             return false;
         }
-        self.version = Some(version);
-        self.verified_at = self.verified_at.max(Some(at));
+        self.position = Some(position);
+        self.verified = self.verified.max(Some((position.era, at)));
         true
     }
 
     /// Applies an update.
     pub fn apply(&mut self, update: TableUpdate) -> ApplyOutcome {
-        match (self.version, update.since) {
-            (Some(known), _) if update.version < known => return ApplyOutcome::Stale,
+        let position = update.position();
+        self.note_era(position.era);
+        match (self.position, update.since) {
+            (Some(known), _) if position < known => return ApplyOutcome::Stale,
             (None, Some(_)) => return ApplyOutcome::Gap,
-            (Some(known), Some(since)) if since > known => return ApplyOutcome::Gap,
+            (Some(known), Some(_)) if position.era > known.era => return ApplyOutcome::Gap,
+            (Some(known), Some(since)) if since > known.version => return ApplyOutcome::Gap,
+            (Some(known), None) if position.era > known.era => {
+                return ApplyOutcome::Replaced(self.replace(update));
+            }
             _ => {}
         }
-        self.version = Some(update.version);
+        self.position = Some(position);
         let mut changed = Vec::new();
         if update.since.is_none() {
             changed.extend(self.missing_from(&update.rows));
@@ -140,10 +209,33 @@
         ApplyOutcome::Changed(changed)
     }
 
-    /// Returns the changes since version `known`, or all rows where those changes are
-    /// not known; `None` where nothing has been read yet.
+    /// Replaces a copy of an earlier era, whose versions mean nothing any more, and
+    /// returns the rows whose values differ.
+    fn replace(&mut self, list: TableUpdate) -> Vec<TableRow> {
+        let mut changed = self.missing_from(&list.rows);
+        let former = std::mem::take(&mut self.rows);
+        for row in list.rows {
+            let Some(value) = &row.value else { continue };
+            self.rows
+                .insert(row.key.clone(), (row.version, value.clone()));
+            if former.get(&row.key).is_none_or(|(_, known)| known != value) {
+                changed.push(row);
+            }
+        }
+        self.position = Some(Position {
+            era: list.era,
+            version: list.version,
+        });
+        self.last_change = list.version;
+        self.removed.clear();
+        self.removed_since = list.version;
+        changed
+    }
+
+    /// Returns the changes since version `known` of the copy's era, or all rows where
+    /// those changes are not known; `None` where nothing has been read yet.
     pub fn updates_since(&self, known: Option<u64>) -> Option<TableUpdate> {
-        let version = self.version?;
+        let Position { era, version } = self.position?;
         let since = known.filter(|known| *known >= self.removed_since);
         let after = since.unwrap_or(0);
         let is_new = |version: u64| since.is_none() || version > after;
@@ -162,6 +254,7 @@
         });
         Some(TableUpdate {
             since,
+            era,
             version,
             rows: removed.chain(rows).collect(),
         })
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -74,6 +74,7 @@
                 version: 5,
                 changed: 5,
                 age_ms: 300,
+                era: 1,
             })];
             for step in [Fleet::tick, Fleet::pulse_domain] {
                 let mut out: Vec<(InstanceId, OutgoingPulse)> = Vec::new();
@@ -489,6 +490,7 @@
         version: 5,
         changed: 5,
         age_ms: 100,
+        era: 1,
     })];
     let second = Duration::from_secs(1);
     let (hub, other, hub_id, other_id) = if one.is_hub(Time::ZERO) {
@@ -519,6 +521,7 @@
         version: 5,
         changed: 5,
         age_ms: 100,
+        era: 1,
     };
     let now = Duration::from_secs(1);
     let proof = |fleet: &mut Fleet, echo_ms| {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -3,6 +3,8 @@
 use crate::SharedGateway;
 use crate::forward::own_response;
 use crate::relay::{ResponseBody, full_body};
+use crate::state::TABLES;
+use decision::Position;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -38,9 +40,23 @@
         ),
         ("configuration_version", router.version().unwrap_or(0)),
         ("configuration_age_ms", age.unwrap_or(u64::MAX)),
+        ("store_era", gateway.store_era()),
     ];
     let lines = gauges.map(|(name, value)| format!("briargap_{name} {value}\n"));
-    lines.concat() + &gateway.metrics.to_text()
+    lines.concat() + &copies_text(gateway) + &gateway.metrics.to_text()
+}
+
+/// Returns the positions of the copies of the store's tables as metrics.
+fn copies_text(gateway: &SharedGateway) -> String {
+    let copies = gateway.copies.borrow();
+    let lines = TABLES.iter().zip(copies.iter()).map(|(table, copy)| {
+        let Position { era, version } = copy.position().unwrap_or_default();
+        format!(
+            "briargap_copy_era{{kind=\"{table}\"}} {era}\n\
+             briargap_copy_version{{kind=\"{table}\"}} {version}\n"
+        )
+    });
+    lines.collect()
 }
 
 fn state_dump(gateway: &SharedGateway) -> String {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,10 +4,10 @@
 //! handles incoming messages and passes changes of the store's tables on.
 
 use crate::crashes;
-use crate::state::{Gap, TABLES};
+use crate::state::{Applied, Gap, TABLES};
 use crate::{Error, Result, Settings, SharedGateway};
 use decision::{
-    CopyStatus, Fleet, InstanceId, LoadSummary, Message, OutgoingPulse, Pulse, PulseScope,
+    CopyStatus, Era, Fleet, InstanceId, LoadSummary, Message, OutgoingPulse, Pulse, PulseScope,
     TableUpdate, Time, hash_parts,
 };
 use peer::{Mesh as _, PeerEvent, WsMesh};
@@ -84,6 +84,15 @@
         self.send_pulses(gateway, Fleet::pulse_domain);
     }
 
+    /// Sends pulses immediately if this instance is a hub, so that others fetch a copy
+    /// of a later era from it.
+    pub(crate) fn announce_copies(&self, gateway: &SharedGateway) {
+        let is_hub = gateway.fleet.borrow().is_hub(gateway.now());
+        if is_hub {
+            self.announce(gateway);
+        }
+    }
+
     /// Sends the pulses of one step and updates the router with what the fleet
     /// knows of the other instances.
     fn send_pulses(&self, gateway: &SharedGateway, build: BuildPulses) {
@@ -124,7 +133,7 @@
         let pulse = Message::Pulse(Box::new(join_pulse));
         self.0.send(&name, address, &pulse);
         for (table, copy) in gateway.copies.borrow().iter().enumerate() {
-            if copy.version().is_none() {
+            if copy.position().is_none() {
                 self.0
                     .send(&name, address, &Message::FetchTable(table as u8, None));
             }
@@ -154,6 +163,9 @@
     fn receive_pulse(&self, gateway: &SharedGateway, from: &InstanceId, pulse: Pulse) {
         let now = gateway.now();
         let statuses = pulse.copies.clone();
+        for status in statuses.iter().flatten() {
+            gateway.note_era(status.era, from);
+        }
         let is_new = !gateway.fleet.borrow().knows_peer(from);
         let is_fleet_wide = pulse.scope == PulseScope::All;
         let mut router = gateway.router.borrow_mut();
@@ -165,7 +177,7 @@
         }
         for (table, proof) in proofs.into_iter().enumerate().take(TABLES.len()) {
             if let Some((status, at)) = proof {
-                gateway.verify_table(table, status.version, status.changed, at);
+                gateway.verify_table(table, status.position(), status.changed, at);
             }
         }
         if is_new {
@@ -174,13 +186,24 @@
             self.send(gateway, from, &Message::Pulse(Box::new(reply)));
         }
         for (table, status) in statuses.into_iter().enumerate().take(TABLES.len()) {
-            let known = gateway.copies.borrow()[table].version();
-            if status.is_some_and(|s| known.is_none_or(|k| s.changed > k)) {
-                self.send(gateway, from, &Message::FetchTable(table as u8, known));
+            let known = gateway.copies.borrow()[table].position();
+            match status {
+                Some(s) if known.is_none_or(|known| s.last_change() > known) => {
+                    self.fetch_table(gateway, from, table, s.era);
+                }
+                _ => {}
             }
         }
     }
 
+    /// Asks an instance whose copy of a table is of an era for the changes that this
+    /// instance lacks, or for all rows if its copy is of another era.
+    fn fetch_table(&self, gateway: &SharedGateway, from: &InstanceId, table: usize, era: Era) {
+        let position = gateway.copies.borrow()[table].position();
+        let known = position.filter(|p| p.era == era).map(|p| p.version);
+        self.send(gateway, from, &Message::FetchTable(table as u8, known));
+    }
+
     fn receive_update(
         &self,
         gateway: &SharedGateway,
@@ -191,13 +214,12 @@
         if table >= TABLES.len() {
             return;
         }
+        let era = update.era;
+        gateway.note_era(era, from);
         match gateway.apply_update(table, update) {
-            Ok(Some(update)) => self.forward_update(gateway, table, &update),
-            Ok(None) => {}
-            Err(Gap) => {
-                let known = gateway.copies.borrow()[table].version();
-                self.send(gateway, from, &Message::FetchTable(table as u8, known));
-            }
+            Ok(Applied::Changed(update)) => self.forward_update(gateway, table, &update),
+            Ok(Applied::Unchanged | Applied::Replaced | Applied::Stale) => {}
+            Err(Gap) => self.fetch_table(gateway, from, table, era),
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,8 +7,8 @@
 use crate::settings::Settings;
 use crate::timeouts::ConnectionLimits;
 use decision::{
-    ApplyOutcome, CopyStatus, Fleet, Listing, Router, RouterBounds, TableCopy, TableRow,
-    TableUpdate, TargetId, Time, TransferLimiter,
+    ApplyOutcome, CopyStatus, Era, Fleet, Listing, Position, Router, RouterBounds, TableCopy,
+    TableRow, TableUpdate, TargetId, Time, TransferLimiter,
 };
 use exchange::MemoryBudget;
 use platform::StoreClient;
@@ -129,7 +129,7 @@
 
     /// Returns whether the instance knows a configuration and the targets.
     pub(crate) fn is_started(&self) -> bool {
-        let has_targets = self.copies.borrow()[TARGETS].version().is_some();
+        let has_targets = self.copies.borrow()[TARGETS].position().is_some();
         has_targets && self.router.borrow().version().is_some()
     }
 
@@ -149,21 +149,42 @@
     /// Returns how new this instance's copies of the tables are.
     pub(crate) fn copy_statuses(&self) -> Vec<Option<CopyStatus>> {
         let now = self.now();
-        let status = |copy: &TableCopy| {
-            let age = now.saturating_sub(copy.verified_at()?);
-            Some(CopyStatus {
-                version: copy.version()?,
-                changed: copy.last_change(),
-                age_ms: age.as_millis() as u32,
-            })
-        };
-        self.copies.borrow().iter().map(status).collect()
+        let copies = self.copies.borrow();
+        copies.iter().map(|copy| copy.status(now)).collect()
+    }
+
+    /// Returns the latest era of the store that this instance has heard of.
+    pub(crate) fn store_era(&self) -> Era {
+        self.copies.borrow()[OPERATORS].latest_era()
     }
 
-    /// Records that `version` of a table, whose rows last changed in version
+    /// Records that the store has been in an era, as `source` says.
+    pub(crate) fn note_era(&self, era: Era, source: &str) {
+        let before = self.store_era();
+        if era <= before {
+            return;
+        }
+        let mut copies = self.copies.borrow_mut();
+        copies.iter_mut().for_each(|copy| copy.note_era(era));
+        let positions: Vec<_> = copies.iter().map(TableCopy::position).collect();
+        drop(copies);
+        self.metrics.count("store_eras", "begun");
+        self.event_log.state_change(&json!({
+            "event": "store era", "era": era, "before": before, "source": source,
+            "copies": positions,
+        }));
+    }
+
+    /// Records that `position` of a table, whose rows last changed in version
     /// `changed`, was the newest at `at`. Returns whether this instance's copy
     /// contains all of its changes.
-    pub(crate) fn verify_table(&self, table: usize, version: u64, changed: u64, at: Time) -> bool {
+    pub(crate) fn verify_table(
+        &self,
+        table: usize,
+        position: Position,
+        changed: u64,
+        at: Time,
+    ) -> bool {
         let is_current = {
             let mut copies = self.copies.borrow_mut();
             let before = copies[table].verified_at();
@@ -171,7 +192,7 @@
                 let mut router = self.router.borrow_mut();
                 router.entries_verified(self.now(), before, at);
             }
-            copies[table].verify(version, changed, at)
+            copies[table].verify(position, changed, at)
         };
         if is_current && table == OPERATORS {
             self.router.borrow_mut().configuration_verified(at);
@@ -180,37 +201,52 @@
     }
 
     /// Applies an update to the copy of a table and acts on the rows that changed.
-    /// Returns the update to send to other instances, or `None` if nothing changed
-    /// or this was the first update, which the others fetch as a whole.
     ///
     /// # Errors
     ///
     /// Fails if changes between the copy and the update are missing.
-    pub(crate) fn apply_update(
-        &self,
-        table: usize,
-        update: TableUpdate,
-    ) -> Result<Option<TableUpdate>, Gap> {
-        let version = update.version;
+    pub(crate) fn apply_update(&self, table: usize, update: TableUpdate) -> Result<Applied, Gap> {
+        let (era, version) = (update.era, update.version);
         let (before, outcome) = {
             let mut copies = self.copies.borrow_mut();
-            (copies[table].version(), copies[table].apply(update))
+            (copies[table].position(), copies[table].apply(update))
         };
+        let name = TABLES[table];
         let changed = match outcome {
             ApplyOutcome::Changed(changed) => changed,
-            ApplyOutcome::Stale => return Ok(None),
-            ApplyOutcome::Gap => return Err(Gap),
+            ApplyOutcome::Replaced(changed) => {
+                self.metrics.count("copies_replaced", name);
+                self.event_log.state_change(&json!({
+                    "event": "copy replaced", "table": name, "before": before, "era": era,
+                    "version": version, "changed": changed.len(),
+                }));
+                for row in &changed {
+                    self.apply_row(table, row);
+                }
+                return Ok(Applied::Replaced);
+            }
+            ApplyOutcome::Stale => {
+                self.metrics.count("updates_stale", name);
+                return Ok(Applied::Stale);
+            }
+            ApplyOutcome::Gap => {
+                self.metrics.count("updates_with_gap", name);
+                return Err(Gap);
+            }
         };
         for row in &changed {
             self.apply_row(table, row);
         }
         // Without a previous version there is none from which others could apply
         // these changes; an instance that has no copy fetches all rows.
-        let since = before.filter(|_| !changed.is_empty());
-        Ok(since.map(|since| TableUpdate {
-            since: Some(since),
-            version,
-            rows: changed,
+        let since = before.filter(|_| !changed.is_empty()).map(|p| p.version);
+        Ok(since.map_or(Applied::Unchanged, |since| {
+            Applied::Changed(TableUpdate {
+                since: Some(since),
+                era,
+                version,
+                rows: changed,
+            })
         }))
     }
 
@@ -290,6 +326,20 @@
     since_epoch.map_or(1, |t| t.as_millis() as u64)
 }
 
+/// What an update of a table did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Applied {
+    /// Nothing that others need: no row changed, or this was the first update, which
+    /// they fetch as a whole.
+    Unchanged,
+    /// These rows changed, which are sent to other instances.
+    Changed(TableUpdate),
+    /// The copy was replaced by one of a later era, which others fetch as a whole.
+    Replaced,
+    /// The update was older than the copy and was ignored.
+    Stale,
+}
+
 /// Error: changes between a copy of a table and an update are missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Gap;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,8 +2,8 @@
 
 use crate::SharedGateway;
 use crate::fleet::Mesh;
-use crate::state::{Gap, Phase, TABLES};
-use decision::{ReadPolicy, TableRow, TableUpdate, Time};
+use crate::state::{Applied, Gap, Phase, TABLES};
+use decision::{Position, ReadPolicy, TableRow, TableUpdate, Time};
 use platform::rows::{self, INSTANCES_TABLE, Row, RowKey, RowsResponse, Transaction};
 use platform::{StoreError, unpartitioned_put};
 use rand::Rng;
@@ -56,6 +56,9 @@
 /// as having been reset.
 const CLOCK_JUMP: Duration = Duration::from_secs(60);
 
+/// Source of news of the store's era in the log, besides the names of instances.
+const STORE: &str = "store";
+
 /// Starts the tasks that keep the copies of the tables up to date and register
 /// this instance.
 pub(crate) fn start(gateway: &SharedGateway, mesh: &Mesh) {
@@ -86,6 +89,24 @@
     /// Estimate, from below, of the store's clock minus this instance's, in
     /// milliseconds.
     clock_offset: Option<f64>,
+    /// Consecutive reads of the whole table because the store lacked the changes.
+    whole_reads: u32,
+    /// Whether the last reads were older than the copy.
+    is_behind: bool,
+}
+
+/// What a read of a table led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadOutcome {
+    /// There were changes.
+    Changed,
+    /// There were none.
+    Unchanged,
+    /// The store did not have the changes since the copy, and the whole table was
+    /// read.
+    Whole,
+    /// The store is behind the copy.
+    Stale,
 }
 
 impl TableFollower {
@@ -99,6 +120,8 @@
             is_failing: false,
             reason: None,
             clock_offset: None,
+            whole_reads: 0,
+            is_behind: false,
         }
     }
 
@@ -111,7 +134,7 @@
                 continue;
             }
             match self.read().await {
-                Ok(had_changes) => self.after_success(had_changes).await,
+                Ok(outcome) => self.after_read(outcome).await,
                 Err(e) => self.after_error(&e).await,
             }
         }
@@ -124,7 +147,7 @@
             let copy = &self.gateway.copies.borrow()[self.table];
             // A copy that came from a seed is verified by the first pulse;
             // until then it counts as verified at the start of the process.
-            copy.verified_at().or(copy.version().map(|_| Time::ZERO))
+            copy.verified_at().or(copy.position().map(|_| Time::ZERO))
         };
         let fleet = self.gateway.fleet.borrow();
         fleet.reason_to_read(now, self.table, &READ_POLICIES[self.table], verified_at)
@@ -138,38 +161,50 @@
         }
     }
 
-    /// Reads the changes since the version of the copy, or the whole table if there
-    /// is no copy or the store no longer has those changes. Returns whether there
-    /// were any.
-    async fn read(&mut self) -> platform::Result<bool> {
-        let version = self.gateway.copies.borrow()[self.table].version();
-        let table = TABLES[self.table];
+    /// Reads the changes since the position of the copy, or the whole table if there
+    /// is no copy or the store doesn't have those changes.
+    async fn read(&mut self) -> platform::Result<ReadOutcome> {
+        let position = self.gateway.copies.borrow()[self.table].position();
         let start = self.gateway.now();
-        let read = match version {
-            Some(after) => {
-                self.gateway
-                    .store
-                    .poll_feed(table, after, self.poll_wait())
-                    .await
-            }
-            None => self.gateway.store.read_range(table, "", "").await,
+        let Some(position) = position else {
+            let rows = self.read_all().await?;
+            return Ok(self.apply(start, None, rows));
         };
+        let wait = self.poll_wait();
+        let table = TABLES[self.table];
+        let poll = self.gateway.store.poll_feed(table, position.version, wait);
+        let read = poll.await;
         self.gateway.metrics.count("store_calls", table);
-        let (since, rows) = match read {
-            Ok(rows) => (version, rows),
-            Err(StoreError::HistoryGone { .. }) => {
-                self.gateway.event_log.state_change(&json!({
-                    "event": "history of the store is gone", "table": table, "after": version,
-                }));
-                let rows = self.gateway.store.read_range(table, "", "").await?;
-                self.gateway.metrics.count("store_calls", table);
-                (None, rows)
+        let era = match read {
+            Ok(rows) if rows.era <= position.era => {
+                return Ok(self.apply(start, Some(position.version), rows));
             }
+            // The changes of a later era don't follow on the copy's version.
+            Ok(rows) => rows.era,
+            Err(StoreError::HistoryGone { era, .. }) => era,
             Err(e) => return Err(e),
         };
-        let had_changes = !rows.rows.is_empty();
-        self.apply(start, since, rows);
-        Ok(had_changes)
+        self.gateway.note_era(era, STORE);
+        self.gateway.metrics.count("histories_gone", table);
+        if self.whole_reads == 0 {
+            self.gateway.event_log.state_change(&json!({
+                "event": "history of the store is gone", "table": table, "era": era,
+                "copy": position,
+            }));
+        }
+        let start = self.gateway.now();
+        let rows = self.read_all().await?;
+        Ok(match self.apply(start, None, rows) {
+            ReadOutcome::Stale => ReadOutcome::Stale,
+            _ => ReadOutcome::Whole,
+        })
+    }
+
+    async fn read_all(&self) -> platform::Result<RowsResponse> {
+        let table = TABLES[self.table];
+        let rows = self.gateway.store.read_range(table, "", "").await?;
+        self.gateway.metrics.count("store_calls", table);
+        Ok(rows)
     }
 
     /// Returns how long a poll of the feed waits for changes. Only hubs wait; other
@@ -183,23 +218,57 @@
         }
     }
 
-    fn apply(&mut self, start: Time, since: Option<u64>, rows: RowsResponse) {
+    fn apply(&mut self, start: Time, since: Option<u64>, rows: RowsResponse) -> ReadOutcome {
         let snapshot_time = self.snapshot_time(start, rows.now_ms);
-        let version = rows.version;
+        let had_changes = !rows.rows.is_empty();
         let update = TableUpdate {
             since,
-            version,
+            era: rows.era,
+            version: rows.version,
             rows: rows.rows.into_iter().map(table_row).collect(),
         };
-        match self.gateway.apply_update(self.table, update) {
-            Ok(Some(update)) => self.mesh.publish_update(&self.gateway, self.table, &update),
-            Ok(None) => {}
+        let position = update.position();
+        self.gateway.note_era(position.era, STORE);
+        let applied = self.gateway.apply_update(self.table, update);
+        match &applied {
+            Ok(Applied::Changed(update)) => {
+                self.mesh.publish_update(&self.gateway, self.table, update);
+            }
+            Ok(Applied::Unchanged | Applied::Replaced | Applied::Stale) => {}
             // The feed was polled from the version of the copy.
             Err(Gap) => log::error!("the store's feed starts after the requested version"),
         }
-        let changed = self.gateway.copies.borrow()[self.table].last_change();
+        let changed = {
+            let copies = self.gateway.copies.borrow();
+            let changed = copies[self.table].last_change().unwrap_or_default();
+            changed.version.min(position.version)
+        };
         self.gateway
-            .verify_table(self.table, version, changed.min(version), snapshot_time);
+            .verify_table(self.table, position, changed, snapshot_time);
+        let copy = self.gateway.copies.borrow()[self.table].position();
+        let is_older_era = copy.is_some_and(|copy| position.era < copy.era);
+        match applied {
+            Ok(Applied::Replaced) => {
+                self.mesh.announce_copies(&self.gateway);
+                ReadOutcome::Changed
+            }
+            // Other instances may have sent the changes during the poll.
+            Ok(Applied::Stale) if since.is_none() || is_older_era => {
+                self.log_stale(position, copy);
+                ReadOutcome::Stale
+            }
+            _ if had_changes => ReadOutcome::Changed,
+            _ => ReadOutcome::Unchanged,
+        }
+    }
+
+    fn log_stale(&mut self, read: Position, copy: Option<Position>) {
+        if !std::mem::replace(&mut self.is_behind, true) {
+            self.gateway.event_log.state_change(&json!({
+                "event": "store is behind the copy", "table": TABLES[self.table],
+                "read": read, "copy": copy,
+            }));
+        }
     }
 
     /// Returns the time, on this instance's clock, whose state of the store a
@@ -224,14 +293,22 @@
         snapshot.map_or(start, |at| at.min(now).saturating_sub(CLOCK_SLACK))
     }
 
-    async fn after_success(&mut self, had_changes: bool) {
-        self.pause = MIN_RETRY_PAUSE;
+    async fn after_read(&mut self, outcome: ReadOutcome) {
         if std::mem::take(&mut self.is_failing) {
             self.gateway.event_log.state_change(&json!({
                 "event": "store regained", "table": TABLES[self.table],
             }));
         }
+        self.whole_reads = match outcome {
+            ReadOutcome::Whole | ReadOutcome::Stale => self.whole_reads + 1,
+            ReadOutcome::Changed | ReadOutcome::Unchanged => 0,
+        };
+        if self.whole_reads == 0 {
+            self.is_behind = false;
+        }
+        self.pause = MIN_RETRY_PAUSE;
         let is_hub = self.gateway.fleet.borrow().is_hub(self.gateway.now());
+        let had_changes = outcome != ReadOutcome::Unchanged;
         let (pause, poll_wait) = READ_POLICIES[self.table].next_poll(had_changes);
         self.poll_wait = poll_wait;
         let pause = if is_hub {
