Back off when the store answers 410 again and again

An instance made 2,064 reads in two seconds of a store that answered every feed with 410: a poll that led to a read of the whole table counted as a success, which resets the pause. The same went on without a pause where a part of the store answered with rows of an earlier era.

From the second read of the whole table in series on, and whenever a read is older than the copy, the pause grows as after errors: up to 600 ms on average after a read that was taken, so that changes are still seen in time, and up to 1.2 s after one that was not.

`repeated_reads_of_the_whole_table_back_off` allows fewer than 40 reads in two seconds and holds.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -299,14 +299,22 @@
                 "event": "store regained", "table": TABLES[self.table],
             }));
         }
+        let max_pause = match outcome {
+            ReadOutcome::Stale => MAX_RETRY_PAUSE,
+            ReadOutcome::Whole if self.whole_reads > 0 => READ_PAUSE,
+            _ => Duration::ZERO,
+        };
         self.whole_reads = match outcome {
             ReadOutcome::Whole | ReadOutcome::Stale => self.whole_reads + 1,
             ReadOutcome::Changed | ReadOutcome::Unchanged => 0,
         };
+        if max_pause > Duration::ZERO {
+            return self.back_off(max_pause).await;
+        }
         if self.whole_reads == 0 {
+            self.pause = MIN_RETRY_PAUSE;
             self.is_behind = false;
         }
-        self.pause = MIN_RETRY_PAUSE;
         let is_hub = self.gateway.fleet.borrow().is_hub(self.gateway.now());
         let had_changes = outcome != ReadOutcome::Unchanged;
         let (pause, poll_wait) = READ_POLICIES[self.table].next_poll(had_changes);
@@ -319,6 +327,13 @@
         tokio::time::sleep(pause).await;
     }
 
+    /// Pauses for about twice as long as the last time, up to a limit.
+    async fn back_off(&mut self, max_pause: Duration) {
+        let pause = self.pause.min(max_pause);
+        tokio::time::sleep(pause.mul_f64(jitter())).await;
+        self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
+    }
+
     async fn after_error(&mut self, error: &StoreError) {
         self.gateway
             .metrics
@@ -328,8 +343,7 @@
                 "event": "store lost", "table": TABLES[self.table], "error": error.to_string(),
             }));
         }
-        tokio::time::sleep(self.pause.mul_f64(jitter())).await;
-        self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
+        self.back_off(MAX_RETRY_PAUSE).await;
     }
 }
 
