Complete the list of instances after a restore

An instance writes its entry in the list of instances once, at its start. After the store had come back from a backup without it, instances that started later could not find it, and one of a fleet of one never again.

In a later era the readers of the list read it at once and add the instances that run and are not leaving, in one transaction of 100 entries at most; an instance that knows no others adds itself. The second reader leaves the first one a second, so that it finds nothing missing. A failed read or write is repeated with a growing pause.

--- a/crates/decision/src/fleet/hub.rs
+++ b/crates/decision/src/fleet/hub.rs
@@ -4,7 +4,7 @@
 use crate::hash::{hash_parts, rank, winner};
 use crate::id::{DomainId, InstanceId, Time};
 use crate::members::Listing;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Silence after which an instance no longer counts as live. News of it takes two
@@ -83,6 +83,16 @@
         me.into_iter().chain(others).collect()
     }
 
+    /// Returns the instances that run and are not leaving, including this one, as far as
+    /// a list lacks them.
+    pub fn missing_from(&self, now: Time, list: &[Listing]) -> Vec<Listing> {
+        let listed: BTreeSet<&InstanceId> = list.iter().map(|l| &l.id).collect();
+        let me = Some(&self.me).filter(|me| !me.leaving);
+        let running = self.running(now).map(|p| &p.listing);
+        let all = me.into_iter().chain(running);
+        all.filter(|l| !listed.contains(&l.id)).cloned().collect()
+    }
+
     /// Returns the number of instances that share the limits, and the position of
     /// this one in the order of their names.
     pub fn share(&self, now: Time) -> (usize, usize) {
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -607,3 +607,25 @@
     fleet.receive_pulse(later, &first, back.join_pulse(later));
     assert_eq!(fleet.hub(later, "d0").expect("a hub").id, first);
 }
+
+// Guards against running instances that are left out when a list that was lost is
+// completed, and against instances in it that have left.
+#[test]
+fn a_list_lacks_the_running_instances_that_are_not_in_it() {
+    let all: Vec<Listing> = (0..4).map(|n| listing(n, 2)).collect();
+    let mut fleet = Fleet::new(all[0].clone(), 1);
+    let leaving = Listing {
+        leaving: true,
+        ..all[3].clone()
+    };
+    fleet.add_listed(Time::ZERO, vec![all[1].clone(), all[2].clone(), leaving]);
+    let ids =
+        |missing: Vec<Listing>| -> Vec<InstanceId> { missing.into_iter().map(|l| l.id).collect() };
+    let missing = fleet.missing_from(PULSE, &all[1..2]);
+    assert_eq!(ids(missing), ["i000", "i002"]);
+    assert_eq!(ids(fleet.missing_from(PULSE, &all[..3])), [""; 0]);
+    let later = Duration::from_secs(10);
+    assert_eq!(ids(fleet.missing_from(later, &[])), ["i000"]);
+    fleet.set_leaving();
+    assert_eq!(ids(fleet.missing_from(later, &[])), [""; 0]);
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::SharedGateway;
 use crate::fleet::Mesh;
 use crate::state::{Applied, Gap, Phase, TABLES};
-use decision::{Position, ReadPolicy, TableRow, TableUpdate, Time};
+use decision::{Era, Listing, Position, ReadPolicy, TableRow, TableUpdate, Time};
 use platform::rows::{self, INSTANCES_TABLE, Row, RowKey, RowsResponse, Transaction};
 use platform::{StoreError, unpartitioned_put};
 use rand::Rng;
@@ -49,6 +49,11 @@
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
 /// Mean interval at which hubs read the list of instances.
 const LIST_INTERVAL: Duration = Duration::from_secs(12);
+/// Time that the second reader of the list leaves to the first one to complete it.
+const LIST_TURN: Duration = Duration::from_secs(1);
+/// Maximum number of rows in a transaction. The list needs no more entries than this
+/// for instances to find each other.
+const MAX_PUTS: usize = 100;
 /// Allowance for the error of the estimated offset between the clocks, which is
 /// the shortest time that a response of the store took to arrive.
 const CLOCK_SLACK: Duration = Duration::from_millis(20);
@@ -378,13 +383,32 @@
     while gateway.fleet.borrow().waits_for_seeds(gateway.now()) {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
-    loop {
+    follow_list(gateway).await;
+}
+
+/// Reads the list of instances periodically while this instance has to, and at once
+/// in a later era of the store.
+async fn follow_list(gateway: &SharedGateway) {
+    let mut listed_era = gateway.store_era();
+    let mut pause = MIN_RETRY_PAUSE;
+    while gateway.phase() == Phase::Serving {
         if should_read_list(gateway) {
-            read_list(gateway).await;
+            let is_restored = gateway.store_era() > listed_era;
+            match read_list(gateway, is_restored).await {
+                Ok(era) => listed_era = listed_era.max(era),
+                Err(e) => log::debug!("failed to bring the list of instances up to date: {e}"),
+            }
         }
-        tokio::time::sleep(LIST_INTERVAL.mul_f64(jitter())).await;
-        if gateway.phase() != Phase::Serving {
-            return;
+        if should_read_list(gateway) && gateway.store_era() > listed_era {
+            tokio::time::sleep(pause.mul_f64(jitter())).await;
+            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+            continue;
+        }
+        pause = MIN_RETRY_PAUSE;
+        let next_read = gateway.now() + LIST_INTERVAL.mul_f64(jitter());
+        let is_due = || gateway.store_era() > listed_era && should_read_list(gateway);
+        while gateway.now() < next_read && !is_due() {
+            tokio::time::sleep(CHECK_INTERVAL).await;
         }
     }
 }
@@ -397,16 +421,49 @@
     fleet.live(now).len() < 2 || fleet.is_chosen_hub(now, INSTANCES_TABLE, LIST_READERS)
 }
 
-async fn read_list(gateway: &SharedGateway) {
-    match gateway.store.read_range(INSTANCES_TABLE, "", "").await {
-        Ok(rows) => {
-            let listed = rows.rows.iter();
-            let listed = listed.filter_map(|row| serde_json::from_slice(&row.value).ok());
-            let now = gateway.now();
-            gateway.fleet.borrow_mut().add_listed(now, listed.collect());
-        }
-        Err(e) => log::debug!("failed to read the list of instances: {e}"),
+/// Reads the list of instances and returns its era. If the store `is_restored`, adds
+/// the instances that it lacks: their entries, which were written once, may be lost.
+async fn read_list(gateway: &SharedGateway, is_restored: bool) -> platform::Result<Era> {
+    let is_first = {
+        let fleet = gateway.fleet.borrow();
+        fleet.is_chosen_hub(gateway.now(), INSTANCES_TABLE, 1)
+    };
+    if is_restored && !is_first {
+        tokio::time::sleep(LIST_TURN).await;
     }
+    let rows = gateway.store.read_range(INSTANCES_TABLE, "", "").await?;
+    gateway.note_era(rows.era, STORE);
+    let listed = rows.rows.iter();
+    let listed = listed.filter_map(|row| serde_json::from_slice(&row.value).ok());
+    let listed: Vec<Listing> = listed.collect();
+    let now = gateway.now();
+    let mut missing = {
+        let mut fleet = gateway.fleet.borrow_mut();
+        let missing = fleet.missing_from(now, &listed);
+        fleet.add_listed(now, listed);
+        missing
+    };
+    if !is_restored || rows.era < gateway.store_era() {
+        return Ok(rows.era);
+    }
+    missing.truncate(MAX_PUTS);
+    if missing.is_empty() {
+        return Ok(rows.era);
+    }
+    let put = |listing: &Listing| {
+        let value = serde_json::to_vec(listing).unwrap_or_default();
+        unpartitioned_put(INSTANCES_TABLE, &listing.id, value)
+    };
+    let entries = Transaction {
+        puts: missing.iter().map(put).collect(),
+        ..Transaction::default()
+    };
+    gateway.store.transact(&entries).await?;
+    gateway.event_log.state_change(&json!({
+        "event": "list of instances completed", "era": rows.era,
+        "instances": missing.iter().map(|l| &l.id).collect::<Vec<_>>(),
+    }));
+    Ok(rows.era)
 }
 
 /// Removes this instance from the list of instances.
