Hear from peers before relying on a first read

An instance that starts while the store is older than it was takes the first read of the operators' table for proof that its configuration is the newest, although its peers know of a later era or have a newer configuration in force, without keys that were revoked.

Pulses carry the version of the sender's configuration, and the reply to the first pulse of an instance also the state of the sender's copies. Until an instance with other seeds has a pulse that names a configuration, or 400 ms have passed since its start, a read proves nothing; the proof takes effect then, with the time of the read.

Shown by `a_starting_instance_waits_for_news_but_not_for_long` in virtual time.

--- a/crates/decision/src/fleet/mod.rs
+++ b/crates/decision/src/fleet/mod.rs
@@ -78,6 +78,10 @@
     incarnation: Incarnation,
     /// Whether this instance joins the fleet through seeds.
     has_seeds: bool,
+    /// Whether there are seeds besides this instance.
+    has_other_seeds: bool,
+    /// Whether a pulse has come of an instance that knows a configuration.
+    is_informed: bool,
     peers: BTreeMap<InstanceId, Peer>,
     ticks: u64,
     /// Instance that is regarded as the hub of this domain, and since when.
@@ -97,6 +101,8 @@
             me,
             incarnation,
             has_seeds: false,
+            has_other_seeds: false,
+            is_informed: false,
             peers: BTreeMap::new(),
             ticks: 0,
             presumed_hub: None,
@@ -114,6 +120,13 @@
         self
     }
 
+    /// Sets whether there are seeds besides this instance, which may itself be one.
+    #[must_use]
+    pub fn with_other_seeds(mut self, has_other_seeds: bool) -> Self {
+        self.has_other_seeds = has_other_seeds;
+        self
+    }
+
     /// Adds the instances of the platform's list. New ones count as heard from
     /// just now.
     pub fn add_listed(&mut self, now: Time, list: Vec<Listing>) {
--- a/crates/decision/src/fleet/pulse.rs
+++ b/crates/decision/src/fleet/pulse.rs
@@ -1,7 +1,7 @@
 //! The messages by which gateway instances gossip.
 
 use super::tag_map::{Tag, TagMap, tag};
-use crate::id::{Era, Incarnation, InstanceId, PrefixHash, Time};
+use crate::id::{Era, Incarnation, InstanceId, PrefixHash, Time, Version};
 use crate::members::Listing;
 use crate::router::CrashReport;
 use crate::table_copy::Position;
@@ -156,6 +156,9 @@
     /// for a table of which it has no proved copy.
     #[serde(rename = "f", default)]
     pub copies: Vec<Option<CopyStatus>>,
+    /// Version of the configuration that the sender has in force.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Version>,
     /// Evidence of what crashes targets, which [`crate::Router`] exchanges.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashReport>,
--- a/crates/decision/src/fleet/read_policy.rs
+++ b/crates/decision/src/fleet/read_policy.rs
@@ -55,6 +55,12 @@
         self.has_seeds && now < SEED_WAIT
     }
 
+    /// Returns whether this instance has to hear from another one before it relies on
+    /// the store alone: others may know of a later era or a newer configuration.
+    pub fn waits_for_news(&self, now: Time) -> bool {
+        self.has_other_seeds && !self.is_informed && now < SEED_WAIT
+    }
+
     /// Returns why this instance reads a table now, or `None` if it does not.
     ///
     /// The chosen hubs follow the table. Other instances read it only while no hub
--- a/crates/decision/src/fleet/receive.rs
+++ b/crates/decision/src/fleet/receive.rs
@@ -21,6 +21,7 @@
     /// echoes. That time is on this instance's clock, and the sender determined the
     /// age after it, so that the proved time is never too late.
     pub fn receive_pulse(&mut self, now: Time, from: &InstanceId, pulse: Pulse) -> FreshnessProofs {
+        self.is_informed |= pulse.configuration.is_some();
         for record in pulse.instances {
             self.apply_record(now, record);
         }
--- a/crates/decision/src/fleet/send.rs
+++ b/crates/decision/src/fleet/send.rs
@@ -54,6 +54,7 @@
             heard_ages: TagMap::default(),
             load: None,
             copies: Vec::new(),
+            configuration: None,
             crashes: Vec::new(),
         }
     }
@@ -94,6 +95,7 @@
                 heard_ages: TagMap::default(),
                 load: Some(own.clone()),
                 copies: copies.to_vec(),
+                configuration: None,
                 crashes: Vec::new(),
             };
             self.send(&mut out, &hub, &pulse);
@@ -149,6 +151,7 @@
             heard_ages: self.heard_ages(now, |p| is_covered(p) && is_list),
             load: self.load_report(now, own, is_covered),
             copies: copies.to_vec(),
+            configuration: None,
             crashes: Vec::new(),
         }
     }
--- a/crates/decision/tests/fleet.rs
+++ b/crates/decision/tests/fleet.rs
@@ -629,3 +629,23 @@
     fleet.set_leaving();
     assert_eq!(ids(fleet.missing_from(later, &[])), [""; 0]);
 }
+
+// Guards against an instance that starts while the store is older than what its peers
+// know, and relies on the store alone.
+#[test]
+fn a_starting_instance_waits_for_news_but_not_for_long() {
+    let (start, late) = (Duration::from_millis(50), Duration::from_millis(400));
+    let me = listing(0, 1);
+    let alone = Fleet::new(me.clone(), 1);
+    assert!(!alone.waits_for_news(start), "there is no other instance");
+    let mut fleet = Fleet::new(me, 1).with_other_seeds(true);
+    assert!(fleet.waits_for_news(start));
+    assert!(!fleet.waits_for_news(late));
+    let other = Fleet::new(listing(1, 1), 1);
+    let mut pulse = other.join_pulse(start);
+    fleet.receive_pulse(start, &"i001".into(), pulse.clone());
+    assert!(fleet.waits_for_news(start), "it knows no configuration");
+    pulse.configuration = Some(7);
+    fleet.receive_pulse(start, &"i001".into(), pulse);
+    assert!(!fleet.waits_for_news(start));
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -102,7 +102,9 @@
         let mut fleet = gateway.fleet.borrow_mut();
         fleet.set_starting(!gateway.is_started());
         let crashes = gateway.router.borrow().crash_reports(now);
+        let configuration = gateway.router.borrow().version();
         for mut outgoing in build(&mut fleet, now, &own, &statuses) {
+            outgoing.pulse.configuration = configuration;
             outgoing.pulse.crashes.clone_from(&crashes);
             let message = Message::Pulse(Box::new(outgoing.pulse));
             self.0.send(&outgoing.to, outgoing.address, &message);
@@ -182,6 +184,8 @@
         }
         if is_new {
             let mut reply = gateway.fleet.borrow().join_reply(now, from);
+            reply.copies = gateway.copy_statuses();
+            reply.configuration = gateway.router.borrow().version();
             reply.crashes = gateway.router.borrow().crash_reports(now);
             self.send(gateway, from, &Message::Pulse(Box::new(reply)));
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -100,7 +100,9 @@
             clock: Clock::start(),
             router: RefCell::new(Router::new(bounds)),
             fleet: RefCell::new(
-                Fleet::new(listing, incarnation).with_seeds(settings.joins_by_seeds()),
+                Fleet::new(listing, incarnation)
+                    .with_seeds(settings.joins_by_seeds())
+                    .with_other_seeds(!settings.seed_addresses().is_empty()),
             ),
             copies: RefCell::default(),
             transfers: RefCell::default(),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -40,6 +40,8 @@
 const LIST_READERS: usize = 2;
 /// Interval at which an instance that doesn't read a table checks whether it must.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a starting instance checks whether it has heard from others.
+const NEWS_INTERVAL: Duration = Duration::from_millis(20);
 /// Mean pause after a read by an instance that is not a hub; jitter spreads the
 /// calls of many instances.
 const READ_PAUSE: Duration = Duration::from_millis(600);
@@ -248,8 +250,7 @@
             let changed = copies[self.table].last_change().unwrap_or_default();
             changed.version.min(position.version)
         };
-        self.gateway
-            .verify_table(self.table, position, changed, snapshot_time);
+        self.verify(position, changed, snapshot_time);
         let copy = self.gateway.copies.borrow()[self.table].position();
         let is_older_era = copy.is_some_and(|copy| position.era < copy.era);
         match applied {
@@ -267,6 +268,22 @@
         }
     }
 
+    /// Records a proof by the store, at the start only once others had a chance to
+    /// report a later era or a newer configuration.
+    fn verify(&self, position: Position, changed: u64, at: Time) {
+        let (gateway, table) = (self.gateway.clone(), self.table);
+        if !gateway.fleet.borrow().waits_for_news(gateway.now()) {
+            gateway.verify_table(table, position, changed, at);
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            while gateway.fleet.borrow().waits_for_news(gateway.now()) {
+                tokio::time::sleep(NEWS_INTERVAL).await;
+            }
+            gateway.verify_table(table, position, changed, at);
+        });
+    }
+
     fn log_stale(&mut self, read: Position, copy: Option<Position>) {
         if !std::mem::replace(&mut self.is_behind, true) {
             self.gateway.event_log.state_change(&json!({
