--- a/crates/decision/src/router/mod.rs
+++ b/crates/decision/src/router/mod.rs
@@ -130,6 +130,8 @@
     bounds: RouterBounds,
     configuration: Option<Arc<Configuration>>,
     freshness: Freshness,
+    /// Latest version of a configuration that another instance has in force.
+    known_version: Option<Version>,
     evacuated: BTreeSet<DomainId>,
     targets: Targets,
     budgets: BTreeMap<ServiceId, RetryBudget>,
@@ -150,6 +152,7 @@
             freshness: Freshness::new(bounds.key_age),
             bounds,
             configuration: None,
+            known_version: None,
             evacuated: BTreeSet::new(),
             targets: Targets::default(),
             budgets: BTreeMap::new(),
@@ -189,7 +192,31 @@
 
     /// Records that the configuration in force was the newest one at `at`.
     pub fn configuration_verified(&mut self, at: Time) {
-        self.freshness.set_verified(at);
+        if self.version() >= self.known_version {
+            self.freshness.set_verified(at);
+        }
+    }
+
+    /// Records the version of a configuration that another instance has in force.
+    pub fn note_configuration(&mut self, version: Version) {
+        self.known_version = self.known_version.max(Some(version));
+    }
+
+    /// Records the version of the configuration in the copy of the store; `None`
+    /// where it has none.
+    pub fn set_stored_configuration(&mut self, _version: Option<Version>) {}
+
+    /// Records that a complete list of rows of a later era is going to be applied.
+    pub fn store_restored(&mut self, _now: Time) {}
+
+    /// Applies an entry, or the lack of one, in a complete list of a later era.
+    pub fn restore_target(&mut self, now: Time, id: &TargetId, entry: Option<TargetEntry>) {
+        self.update_target(now, id, entry);
+    }
+
+    /// Applies an evacuation, or the lack of one, in a complete list of a later era.
+    pub fn restore_evacuated(&mut self, _now: Time, domain: &DomainId, evacuated: bool) {
+        self.set_evacuated(domain, evacuated);
     }
 
     /// Applies a change of a target's entry; `None` is its removal.
