Tell the router what a restore means

A row of a copy that was replaced after the store had come back from a backup was applied like any change of it, and a configuration that a peer has in force was not known to the router: an instance that started while the store was older accepted a key that had been removed.

The router is told of a restore before its rows, which it gets as such, and of the versions of the configuration in the store and in force at peers, by which it decides what proves that its own is the newest.

`an_instance_that_starts_after_a_restore_accepts_no_removed_key` fails at once where the router ignores the versions of peers, with 200 for the removed key, and holds with them.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -172,6 +172,9 @@
         let is_fleet_wide = pulse.scope == PulseScope::All;
         let mut router = gateway.router.borrow_mut();
         router.merge_crashes(now, &pulse.crashes);
+        if let Some(version) = pulse.configuration {
+            router.note_configuration(version);
+        }
         drop(router);
         let proofs = gateway.fleet.borrow_mut().receive_pulse(now, from, pulse);
         if is_fleet_wide {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -222,8 +222,9 @@
                     "event": "copy replaced", "table": name, "before": before, "era": era,
                     "version": version, "changed": changed.len(),
                 }));
+                self.router.borrow_mut().store_restored(self.now());
                 for row in &changed {
-                    self.apply_row(table, row);
+                    self.apply_row(table, row, RowSource::Replacement);
                 }
                 return Ok(Applied::Replaced);
             }
@@ -237,7 +238,7 @@
             }
         };
         for row in &changed {
-            self.apply_row(table, row);
+            self.apply_row(table, row, RowSource::Change);
         }
         // Without a previous version there is none from which others could apply
         // these changes; an instance that has no copy fetches all rows.
@@ -254,7 +255,7 @@
 
     /// Acts on a changed row: updates the configuration, the evacuated failure
     /// domains or a target in the router.
-    fn apply_row(&self, table: usize, change: &TableRow) {
+    fn apply_row(&self, table: usize, change: &TableRow, source: RowSource) {
         let row = Row {
             table: TABLES[table].into(),
             key: change.key.clone(),
@@ -264,18 +265,22 @@
             ..Row::default()
         };
         if table == TARGETS {
-            self.apply_target_row(&row);
+            self.apply_target_row(&row, source);
         } else {
-            self.apply_operator_row(&row);
+            self.apply_operator_row(&row, source);
         }
     }
 
-    fn apply_operator_row(&self, row: &Row) {
+    fn apply_operator_row(&self, row: &Row, source: RowSource) {
         match documents::decode_operator_row(row) {
             Ok(OperatorRow::Configuration(configuration)) => {
                 let (version, routes) = (configuration.version, configuration.route_count());
                 let limits = configuration.limits;
-                let is_new = self.router.borrow_mut().configure(*configuration);
+                let is_new = {
+                    let mut state = self.router.borrow_mut();
+                    state.set_stored_configuration(Some(version));
+                    state.configure(*configuration)
+                };
                 if is_new {
                     self.limits.update(limits);
                 }
@@ -287,11 +292,26 @@
                 }));
             }
             Ok(OperatorRow::Evacuation { domain, evacuated }) => {
-                self.router.borrow_mut().set_evacuated(&domain, evacuated);
+                let mut router = self.router.borrow_mut();
+                match source {
+                    RowSource::Change => {
+                        router.set_evacuated(&domain, evacuated);
+                    }
+                    RowSource::Replacement => {
+                        router.restore_evacuated(self.now(), &domain, evacuated);
+                    }
+                }
+                drop(router);
                 self.event_log.state_change(&json!({
                     "event": "failure domain", "domain": domain, "out": evacuated, "row": row.version,
                 }));
             }
+            Ok(OperatorRow::NoConfiguration) => {
+                self.router.borrow_mut().set_stored_configuration(None);
+                self.event_log.state_change(&json!({
+                    "event": "no configuration in the store", "row": row.version,
+                }));
+            }
             Ok(OperatorRow::Unknown) => {}
             Err(e) => {
                 self.metrics.count("unreadable_rows", "operators");
@@ -302,7 +322,7 @@
         }
     }
 
-    fn apply_target_row(&self, row: &Row) {
+    fn apply_target_row(&self, row: &Row, source: RowSource) {
         let id: TargetId = row.key.clone();
         let entry = (!row.removed)
             .then(|| documents::decode_target_row(row))
@@ -317,7 +337,11 @@
             "cold_ms": entry.as_ref().map(|e| e.cold_left.as_millis() as u64),
         }));
         let now = self.now();
-        self.router.borrow_mut().update_target(now, &id, entry);
+        let mut router = self.router.borrow_mut();
+        match source {
+            RowSource::Change => router.update_target(now, &id, entry),
+            RowSource::Replacement => router.restore_target(now, &id, entry),
+        }
     }
 }
 
@@ -328,6 +352,15 @@
     since_epoch.map_or(1, |t| t.as_millis() as u64)
 }
 
+/// How a row of a copy came to differ.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RowSource {
+    /// It was changed.
+    Change,
+    /// The copy was replaced by one of a later era.
+    Replacement,
+}
+
 /// What an update of a table did.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Applied {
