--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -286,9 +286,9 @@
                 let (version, routes) = (configuration.version, configuration.route_count());
                 let limits = configuration.limits;
                 let is_new = {
-                    let mut router = self.router.borrow_mut();
-                    router.set_stored_configuration(Some(version));
-                    router.configure(*configuration)
+                    let mut state = self.router.borrow_mut();
+                    state.set_stored_configuration(Some(version));
+                    state.configure(*configuration)
                 };
                 if is_new {
                     self.limits.update(limits);
