Take a token for a retry after one that wasn't sent

A service could get more retries than its budget gives: with one token in all, a request arrived twice and the next one had a retry as well.

An attempt that was lost while its successor was still connecting left no attempt under way once the successor could not be reached. The successor's token was put back, as it was not sent, and the attempt after it took none, because the error before it was that of the unsent one. But it was the second to arrive.

a_retry_after_an_attempt_that_was_not_sent_takes_a_token failed before: 4 arrivals in place of 3.

The token of a successor that was not sent is kept for the next attempt if another one of the same round has arrived and none is under way. If one still is, its own end decides whether a token is taken, so that the token is put back as before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -254,6 +254,7 @@
         let first_index = first.index;
         let mut running = RunningAttempts::from(first);
         let mut wait = limit;
+        let mut has_arrived = false;
         let mut held: Pin<Box<dyn Future<Output = ()>>> = Box::pin(std::future::pending());
         while let Some(newest) = running.newest() {
             let (newest_index, progress) = (newest.index, newest.progress.clone());
@@ -276,7 +277,10 @@
                     let is_newest = attempt.index == newest_index;
                     wait = if is_newest { SUCCESSOR_PAUSE } else { limit };
                     held = Box::pin(std::future::pending());
-                    if attempt.index > first_index && !error.may_have_arrived() {
+                    has_arrived |= error.may_have_arrived();
+                    // The next attempt needs the token if it is not the first to arrive.
+                    let is_needed = has_arrived && running.is_empty();
+                    if attempt.index > first_index && !error.may_have_arrived() && !is_needed {
                         admitted.return_retry();
                     }
                     self.end_failed(attempt, &error);
