Exit before the margin of the grace period

A stopping instance with requests in progress exited 0.25 s before the end of its grace period, in place of the 0.4 s of KILL_MARGIN. Up to 0.2 s of that may pass while the last lines of the log are written, one for each request that gets its error at the end, so that a slow machine has 50 ms left before it is killed.

The time to send the last responses began at the margin rather than to end there.

an_instance_with_requests_in_progress_exits_in_time failed before: 3.756 s with a grace period of 4 s, less than 3.7 s wanted. All 16 tests of stops.rs pass.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -286,7 +286,7 @@
     mesh.announce(gateway);
     watch::deregister(gateway).await;
     let lookups = Duration::from_secs(LOOKUP_TTL_S) * LOOKUP_TTLS;
-    let limit = grace.saturating_sub(KILL_MARGIN);
+    let limit = grace.saturating_sub(KILL_MARGIN + LAST_RESPONSES_TIME + STOP_POLL);
     let elapsed = || gateway.now().saturating_sub(started);
     let last_requests = lookups.saturating_sub(LATE_MARGIN);
     tokio::time::sleep(last_requests.saturating_sub(elapsed())).await;
