Exit in time with a short grace period

A stop with a grace period of less than 3.4 s lasted longer than that, so that its instance was killed and its requests ended without a response.

An instance serves for 3 s after the start of a stop, as long as callers use what they have looked up, whatever the grace period.

an_instance_with_a_short_grace_period_exits_in_time failed before: its response came, but the instance exited more than 2 s after the stop began, with a grace period of 2 s.

That time is now limited by the grace period less the margins for the exit.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,7 +25,7 @@
 /// Seconds for which a caller may cache the result of a lookup.
 const LOOKUP_TTL_S: u64 = 1;
 /// Number of TTLs for which some callers use the result of a lookup; a stopping
-/// instance serves at least that long.
+/// instance serves at least that long if its grace period allows.
 const LOOKUP_TTLS: u32 = 3;
 /// Time before the end of the grace period at which a stopping instance exits,
 /// to do so before it is killed.
@@ -285,8 +285,8 @@
     gateway.fleet.borrow_mut().set_leaving();
     mesh.announce(gateway);
     watch::deregister(gateway).await;
-    let lookups = Duration::from_secs(LOOKUP_TTL_S) * LOOKUP_TTLS;
     let limit = grace.saturating_sub(KILL_MARGIN + LAST_RESPONSES_TIME + STOP_POLL);
+    let lookups = limit.min(Duration::from_secs(LOOKUP_TTL_S) * LOOKUP_TTLS);
     let elapsed = || gateway.now().saturating_sub(started);
     let last_requests = lookups.saturating_sub(LATE_MARGIN);
     tokio::time::sleep(last_requests.saturating_sub(elapsed())).await;
