Put back the token of a resumption that wasn't sent

A stream that was cut ended there for its caller, although another target could have continued it: its only retry had been spent on a target that could not be reached.

A resumption takes a token and, unlike other retries, did not put it back if no target could be chosen or the request was not sent. The next resumption took another one, of which there was none.

a_stream_that_was_cut_keeps_the_retry_that_was_not_sent failed before: the body ended after the second of four events. It passes, as do the other tests of silent_streams.rs (12) and silent_attempts.rs (16).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use crate::responses::{ChannelBody, ResponseBody, Truncated};
 use crate::sse::SseEvent;
 use crate::target_stream::{TargetStream, lost};
-use decision::{AttemptOutcome, Pick, Refusal, RetryPolicy, Time};
+use decision::{AttemptOutcome, Pick, RetryPolicy, Time};
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use hyper::http::response::Parts;
@@ -418,7 +418,11 @@
             if !self.request.admitted.take_retry() {
                 return Err("no_retry");
             }
-            let (pick, lease) = self.request.choose_target().map_err(Refusal::word)?;
+            let choice = self.request.choose_target();
+            let (pick, lease) = choice.map_err(|refusal| {
+                self.request.admitted.return_retry();
+                refusal.word()
+            })?;
             let index = self.request.record_attempt(&pick);
             let (admitted, sent) = (self.request.admitted.clone(), Notify::new());
             let opened = tokio::select! {
@@ -446,6 +450,9 @@
                     if !retry_error.has_not_run() {
                         return Err(retry_error.label());
                     }
+                    if !retry_error.may_have_arrived() {
+                        admitted.return_retry();
+                    }
                     tokio::time::sleep(RESUME_PAUSE).await;
                 }
             }
