Keep the attempt whose response has begun

Callers of resumable routes saw 504 in place of the stream of a sound target. It was silent before the head of its response, so that another target was asked; its head arrived while both held the request, and it was left nevertheless when the other one, which was mute, had held the request for 250 ms.

Cause: holding a request was preferred to a response in progress. Only a response that is not a stream was kept. The head of an older attempt was not noticed.

a_target_that_begins_to_respond_is_not_left failed before with 504 after 5 s. It passes, as do the other 16 tests of silent_attempts.rs.

An attempt whose head has arrived since the newest one began is kept. One whose head arrived before that has been silent since, and is left as before.

--- a/crates/gateway/src/overlap.rs
+++ b/crates/gateway/src/overlap.rs
@@ -64,6 +64,8 @@
     pub(crate) head: Notify,
     /// Whether the response is not a stream and its body is being read.
     has_body: Cell<bool>,
+    /// Whether the head of the response has arrived since the newest attempt began.
+    has_begun: Cell<bool>,
     /// Requests in flight at the target by its own count, if it reports them.
     pub(crate) target_load: Cell<Option<u32>>,
     /// Response with a 5xx status.
@@ -121,7 +123,11 @@
 }
 
 impl RunningAttempts {
+    /// Adds an attempt that is to take over from the others, which are silent.
     pub(crate) fn push(&mut self, attempt: RunningAttempt) {
+        for silent in &self.0 {
+            silent.progress.has_begun.set(false);
+        }
         self.0.push(attempt);
     }
 
@@ -148,11 +154,11 @@
         self.0.iter().any(|a| a.progress.has_body.get())
     }
 
-    /// Removes the attempt that is to go on where only one may: one whose response is
-    /// being read, or else the newest.
+    /// Removes the attempt that is to go on where only one may: one whose response has
+    /// begun, or else the newest.
     pub(crate) fn take_best(&mut self) -> Option<RunningAttempt> {
-        let reading = self.0.iter().position(|a| a.progress.has_body.get());
-        match reading {
+        let begun = self.0.iter().position(|a| a.progress.has_begun.get());
+        match begun {
             Some(position) => Some(self.0.remove(position)),
             None => self.0.pop(),
         }
@@ -186,6 +192,7 @@
     progress.target_load.set(opened.target_load);
     let is_stream = request.is_stream(&opened);
     progress.has_body.set(!is_stream);
+    progress.has_begun.set(true);
     progress.head.notify_one();
     if is_stream {
         return begin_stream(&request, index, pick, opened).await;
