Count only proofs of the targets' entries as such

After a restore an instance could send requests to a target that had left. A restored entry of such a target is held until a read that is newer than the time in which it would have lapsed; but a read of a part of the store that had not come back yet, in the earlier era, ended that too.

The router was told that the entries were proved before the copy had decided whether they were. A read or pulse of an earlier era or version, or one with changes that the copy lacks, so confirmed held entries, made removed targets count as gone, and extended the grace period each time.

The router is now told only of what proved the copy.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -196,17 +196,17 @@
         changed: u64,
         at: Time,
     ) -> bool {
-        let is_current = {
+        let (before, is_current) = {
             let mut copies = self.copies.borrow_mut();
             let before = copies[table].verified_at();
-            if table == TARGETS {
-                let mut router = self.router.borrow_mut();
-                router.entries_verified(self.now(), before, at);
-            }
-            copies[table].verify(position, changed, at)
+            (before, copies[table].verify(position, changed, at))
         };
-        if is_current && table == OPERATORS {
-            self.router.borrow_mut().configuration_verified(at);
+        let mut router = self.router.borrow_mut();
+        match table {
+            _ if !is_current => {}
+            TARGETS => router.entries_verified(self.now(), before, at),
+            OPERATORS => router.configuration_verified(at),
+            _ => {}
         }
         is_current
     }
