--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -289,7 +289,7 @@
     fn apply_operator_row(&self, row: &Row, source: RowSource) {
         match documents::decode_operator_row(row) {
             Ok(OperatorRow::Configuration(configuration)) => {
-                let (version, routes) = (configuration.version, configuration.route_count());
+                let (version, count) = (configuration.version, configuration.route_count());
                 let limits = configuration.limits;
                 let is_new = {
                     let mut router = self.router.borrow_mut();
@@ -302,7 +302,7 @@
                 self.metrics
                     .count("configurations", if is_new { "taken" } else { "old" });
                 self.event_log.state_change(&json!({
-                    "event": "configuration", "version": version, "routes": routes,
+                    "event": "configuration", "version": version, "routes": count,
                     "row": row.version, "taken": is_new,
                 }));
             }
