--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -196,17 +196,17 @@
         changed: u64,
         at: Time,
     ) -> bool {
-        let is_current = {
+        let (before, is_current) = {
             let mut copies = self.copies.borrow_mut();
             let before = copies[table].verified_at();
-            if table == TARGETS {
-                let mut router = self.router.borrow_mut();
-                router.entries_verified(self.now(), before, at);
-            }
-            copies[table].verify(position, changed, at)
+            (before, copies[table].verify(position, changed, at))
         };
-        if is_current && table == OPERATORS {
-            self.router.borrow_mut().configuration_verified(at);
+        let mut router = self.router.borrow_mut();
+        match table {
+            _ if !is_current => {}
+            TARGETS => router.entries_verified(self.now(), before, at),
+            OPERATORS => router.configuration_verified(at),
+            _ => {}
         }
         is_current
     }
@@ -246,6 +246,12 @@
                 return Err(Gap);
             }
         };
+        if table == TARGETS && changed.iter().any(|row| row.value.is_none()) {
+            // A copy that came from a seed counts as proved at the start of the process.
+            let verified_at = self.copies.borrow()[table].verified_at();
+            let (now, before) = (self.now(), verified_at.or(Some(Time::ZERO)));
+            self.router.borrow_mut().keep_lapsed(now, before, now);
+        }
         for row in &changed {
             self.apply_row(table, row, RowSource::Change);
         }
@@ -283,7 +289,7 @@
     fn apply_operator_row(&self, row: &Row, source: RowSource) {
         match documents::decode_operator_row(row) {
             Ok(OperatorRow::Configuration(configuration)) => {
-                let (version, routes) = (configuration.version, configuration.route_count());
+                let (version, count) = (configuration.version, configuration.route_count());
                 let limits = configuration.limits;
                 let is_new = {
                     let mut state = self.router.borrow_mut();
@@ -296,7 +302,7 @@
                 self.metrics
                     .count("configurations", if is_new { "taken" } else { "old" });
                 self.event_log.state_change(&json!({
-                    "event": "configuration", "version": version, "routes": routes,
+                    "event": "configuration", "version": version, "routes": count,
                     "row": row.version, "taken": is_new,
                 }));
             }
