--- a/review/rig-2/instance.rs
+++ b/review/rig-2/instance.rs
@@ -5,14 +5,25 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::Duration;
 
+/// Processes that were started and have not been waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all processes that were started.
+pub fn kill_all() {
+    for pid in STARTED.lock().expect("pids").drain(..) {
+        unsafe { kill(pid as i32, SIGKILL) };
+    }
+}
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
-pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
 
 /// Ports that all machines use.
 #[derive(Clone, Copy)]
@@ -136,7 +147,9 @@
             .stdout(output.try_clone().expect("a log"))
             .stderr(output)
             .spawn();
-        self.child = Some(child.expect("the program starts"));
+        let child = child.expect("the program starts");
+        STARTED.lock().expect("pids").push(child.id());
+        self.child = Some(child);
     }
 
     pub fn signal(&self, signal: i32) {
@@ -170,6 +183,10 @@
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
+            STARTED
+                .lock()
+                .expect("pids")
+                .retain(|pid| *pid != child.id());
             let _ = child.wait();
         }
     }
--- a/review/rig-2/json.rs
+++ b/review/rig-2/json.rs
@@ -140,11 +140,12 @@
 }
 
 pub fn base64(bytes: &[u8]) -> String {
-    const ALPHABET: &[u8; 64] =
-        b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |word, b| word << 8 | u32::from(*b));
+        let word = chunk
+            .iter()
+            .fold(0_u32, |word, b| word << 8 | u32::from(*b));
         let word = word << (8 * (3 - chunk.len()));
         for place in 0..4 {
             if place <= chunk.len() {
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -45,6 +45,7 @@
     std::thread::spawn(|| {
         std::thread::sleep(LONGEST_RUN);
         eprintln!("the run took too long");
+        instance::kill_all();
         std::process::exit(2);
     });
     let arguments: Vec<String> = std::env::args().collect();
--- a/review/rig-2/settings_case.rs
+++ b/review/rig-2/settings_case.rs
@@ -132,7 +132,10 @@
             let after = (call.at - confirmed).as_millis();
             record.note_at(
                 call.at,
-                &format!("LATE: {} was sent {after} ms after the confirmation", call.attempt),
+                &format!(
+                    "LATE: {} was sent {after} ms after the confirmation",
+                    call.attempt
+                ),
             );
         }
     }
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -120,7 +120,9 @@
                 let (from, to) = (field("From"), field("To"));
                 let rows = state.rows.values();
                 let rows = rows.filter(|r| r.table == table && r.key >= from);
-                rows.filter(|r| to.is_empty() || r.key < to).cloned().collect()
+                rows.filter(|r| to.is_empty() || r.key < to)
+                    .cloned()
+                    .collect()
             }
             "/rows-feed" => {
                 let after: u64 = field("After").parse().unwrap_or(0);
