--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod settings_case;
 mod store;
+mod version_case;
 
 use std::fmt::Write as _;
 use std::process::ExitCode;
@@ -65,6 +66,7 @@
     record.note(&format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
         "settings" => settings_case::run(&folder, has_trouble, &mut record),
+        "version" => version_case::run(&folder, has_trouble, &mut record),
         _ => Verdict::Unusable("there is no such case".to_owned()),
     };
     let (code, line) = match verdict {
--- a/review/rig-2/settings_case.rs
+++ b/review/rig-2/settings_case.rs
@@ -1,7 +1,7 @@
 //! The settings change, with SIGHUP, to a shorter `RevokeMs`; then a key is taken away
 //! as the store stops answering.
 
-use crate::engine::{Engine, Runs};
+use crate::engine::{Engine, Kind, Runs};
 use crate::http;
 use crate::instance::{Instance, Ports, SIGHUP};
 use crate::store::Store;
@@ -44,7 +44,7 @@
     let runs = Runs::default();
     let zones = ["nl-west-a", "nl-west-b", "nl-west-c"];
     let engines: Vec<Engine> = (1..=3)
-        .map(|n| Engine::start(&format!("i-{n}"), &runs))
+        .map(|n| Engine::start(&format!("i-{n}"), Kind::Plain, &runs))
         .collect();
     for (engine, zone) in engines.iter().zip(zones) {
         store.put("servers", &engine.id, &engine.entry("wuno96b", zone));
