--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -7,9 +7,10 @@
 mod instance;
 mod json;
 mod settings_case;
+mod starved_case;
 mod store;
-mod version_case;
 
+use starved_case::Trouble;
 use std::fmt::Write as _;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -66,7 +67,14 @@
     record.note(&format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
         "settings" => settings_case::run(&folder, has_trouble, &mut record),
-        "version" => version_case::run(&folder, has_trouble, &mut record),
+        "version" | "writer" => {
+            let trouble = match case.as_str() {
+                _ if !has_trouble => Trouble::None,
+                "version" => Trouble::Pinned,
+                _ => Trouble::Writer,
+            };
+            starved_case::run(&folder, trouble, &mut record)
+        }
         _ => Verdict::Unusable("there is no such case".to_owned()),
     };
     let (code, line) = match verdict {
--- a/review/rig-2/version_case.rs
+++ b/review/rig-2/starved_case.rs
@@ -1,5 +1,8 @@
+//! Two cases in which the chats of all callers starve.
+//!
 //! One caller asks model engines for weights of a version that they no longer have, as
-//! `X-Expect-Version` allows. Others ask for none.
+//! `X-Expect-Version` allows, and others ask for none. Or another writer writes rows to
+//! a part of the table of engines.
 
 use crate::engine::{Engine, Kind, Runs};
 use crate::http;
@@ -18,7 +21,7 @@
 /// Version that one caller asks for.
 const FORMER_WEIGHTS: u64 = 1;
 /// Time for which all callers send.
-const LENGTH: Duration = Duration::from_secs(45);
+const LENGTH: Duration = Duration::from_secs(36);
 /// Time after which the one caller begins, and the number of its requests.
 const BEGIN: Duration = Duration::from_secs(3);
 const PINNED: u64 = 12;
@@ -89,7 +92,18 @@
     )
 }
 
-pub fn run(folder: &Path, has_trouble: bool, record: &mut Record) -> Verdict {
+/// What begins some seconds after the callers.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// One caller's expected version.
+    Pinned,
+    /// Rows of another writer.
+    Writer,
+}
+
+pub fn run(folder: &Path, trouble: Trouble, record: &mut Record) -> Verdict {
     let store = Store::start();
     let runs = Runs::default();
     let zones = ["nl-west-a", "nl-west-b", "nl-west-c"];
@@ -141,7 +155,13 @@
     }
     std::thread::sleep(BEGIN);
     let begun = Instant::now();
-    if has_trouble {
+    if trouble == Trouble::Writer {
+        record.note("another writer writes entries without fields to the part p7 of `servers`");
+        for number in 0..6 {
+            store.put_in("servers", "p7", &format!("i-m{number}"), r#"{"SeqNo":1}"#);
+        }
+    }
+    if trouble == Trouble::Pinned {
         let all: Vec<&Instance> = instances.iter().collect();
         record.note("one caller begins to ask for version 1 of the weights");
         let number = callers.len() as u64;
@@ -197,7 +217,7 @@
         record_share(calls.iter().filter(|c| c.is_served).count(), calls.len())
     };
     record.note(&format!(
-        "served: all {all:.3}, lookups {lookup:.3}, chats {chat:.3}: {chat_before:.3} before that caller, {chat_after:.3} from 3 s after it began"
+        "served: all {all:.3}, lookups {lookup:.3}, chats {chat:.3}: {chat_before:.3} in the first 3 s, {chat_after:.3} from 6 s on"
     ));
     match () {
         () if chat_before < 0.9 || lookup < 0.9 => {
